The whole path on the users' platform, thin: edge subcommand over Asio coroutines and Beast

Cause: the platform needs answers in order on pipelined connections, unframed and early answers, callers that leave, and a store over HTTP; the thread per connection data path has none of these.

--- a/src/command/src/Subcommand.h
+++ b/src/command/src/Subcommand.h
@@ -14,6 +14,7 @@
 };
 
 ExitCode runServe(int argumentCount, char** arguments);
+ExitCode runEdge(int argumentCount, char** arguments);
 ExitCode runCheck(int argumentCount, char** arguments);
 ExitCode runLookup(int argumentCount, char** arguments);
 ExitCode runStatus(int argumentCount, char** arguments);
--- a/src/command/src/main.cpp
+++ b/src/command/src/main.cpp
@@ -9,6 +9,7 @@
 
 constexpr Subcommand subcommands[] = {
     { "serve", "run an entry instance", &runServe },
+    { "edge", "run an instance on the users' platform", &runEdge },
     { "check", "validate tables and settings files", &runCheck },
     { "lookup", "ask which entry instances to use", &runLookup },
     { "status", "show the state of an instance", &runStatus },
--- /dev/null
+++ b/src/command/src/runEdge.cpp
@@ -0,0 +1,57 @@
+#include "CommandOptions.h"
+#include "Subcommand.h"
+
+#include <wagtailrack/platform/PlatformCodec.h>
+#include <wagtailrack/platform/PlatformSettings.h>
+#include <wagtailrack/platform/PlatformStore.h>
+#include <wagtailrack/process/Settings.h>
+
+#include <boost/outcome/try.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+namespace wagtailrack::command {
+
+ExitCode runEdge(int argumentCount, char** arguments)
+{
+    cxxopts::Options options("wagtailrack edge", "Runs an instance on the users' platform until SIGTERM or SIGINT.");
+    options.add_options()("settings", "settings file; by default the one that the environment names",
+        cxxopts::value<std::string>())("check", "read the settings and end");
+    const ParsedOptions parsed = parseOptions(options, argumentCount, arguments);
+    if (!parsed.options)
+        return parsed.exitCode;
+    const char* named = std::getenv(platform::settingsVariable);
+    std::string path = named ? named : "";
+    if (parsed.options->count("settings") > 0)
+        path = (*parsed.options)["settings"].as<std::string>();
+    if (path.empty()) {
+        std::cerr << "wagtailrack: --settings or " << platform::settingsVariable << " is required\n";
+        return ExitCode::Usage;
+    }
+    const auto readSettings = [path]() -> Result<edge::EdgeSettings> {
+        BOOST_OUTCOME_TRY(text, process::readFile(path));
+        return platform::parsePlatformSettings(text, path);
+    };
+    Result<edge::EdgeSettings> settings = readSettings();
+    if (!settings)
+        return reportError(settings.error());
+    if (parsed.options->count("check") > 0) {
+        std::cout << path << ": valid\n";
+        return ExitCode::Success;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    // One thread: the instances have a part of one core, and nothing then needs a lock.
+    edge::asio::io_context context(1);
+    platform::PlatformStore store(context, settings.value().storeAddress);
+    const platform::PlatformCodec codec;
+    edge::EdgeNode node(context, settings.value(), readSettings, platform::headerVocabulary(), platform::edgePaths(),
+        store, codec);
+    if (Status status = node.start(); !status)
+        return reportError(status.error());
+    context.run();
+    return ExitCode::Success;
+}
+
+}
--- /dev/null
+++ b/src/edge/include/wagtailrack/edge/BackendFleet.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <wagtailrack/base/Clock.h>
+#include <wagtailrack/base/Endpoint.h>
+#include <wagtailrack/version/Pool.h>
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace wagtailrack::edge {
+
+// What a backend server says of itself in the registry.
+struct ServerRecord {
+    // New at each start.
+    std::string id;
+    std::string service;
+    Endpoint address;
+    std::string failureDomain;
+    int64_t slots = 1;
+    version::ServerState state = version::ServerState::Active;
+    // How much longer the server stays cold, from the time of its record.
+    int64_t coldLeftMs = 0;
+    // Start of the process in Unix milliseconds; 0 when not told.
+    int64_t startedAtMs = 0;
+
+    friend bool operator==(const ServerRecord&, const ServerRecord&) = default;
+};
+
+// How an attempt at a server ended, as far as the server's standing is concerned.
+enum class ServerOutcome {
+    Answered,
+    // The server refused the request without running it.
+    Shed,
+    // A failure answer of the server's own.
+    Failed,
+    // Reset, truncated or unreadable.
+    Broken,
+    Unreachable,
+};
+
+// A backend server and what this instance has seen of it. Only the event loop's thread touches it.
+struct BackendServer {
+    ServerRecord record;
+    std::string region;
+    uint64_t placementHash = 0;
+    // Not to be used: its record is gone, it is draining, or another server answered at its address.
+    bool isLeaving = false;
+    SteadyTime coldUntil;
+    SteadyTime firstSeen;
+    // Missing from the registry; removed at this time when it has not come back. Epoch: not missing.
+    SteadyTime removeAt;
+
+    int64_t inFlight = 0;
+    // Requests of other instances on this server, from its own load reports; valid until `othersLoadUntil`.
+    double othersLoad = 0;
+    SteadyTime othersLoadUntil;
+    // Part of recent attempts that failed, 0 to 1.
+    double failureRate = 0;
+    // Time of its answers in relation to those expected, 1 for a normal server.
+    double slowness = 1;
+    // Time that a request occupies a slot.
+    double averageWorkMs = 0;
+    int unreachableInARow = 0;
+    SteadyTime avoidUntil;
+    // Objects (by hash) that this instance had the server handle, with the time.
+    std::unordered_map<uint64_t, SteadyTime> warmObjects;
+    // Admission while cold.
+    double coldTokens = 1;
+    SteadyTime coldTokensAt;
+};
+
+using BackendServerPointer = std::shared_ptr<BackendServer>;
+
+// All backend servers that the registry names, by service, with what this instance learned from their answers. Lives
+// for the process; used by the event loop's thread only.
+class BackendFleet {
+public:
+    // Called once for each server that may not be used any more.
+    using LeavingHook = std::function<void(const BackendServer&, const char* reason)>;
+
+    BackendFleet(const Clock& clock, std::map<std::string, std::string> regionOfDomain);
+
+    void setLeavingHook(LeavingHook hook) { this->leavingHook = std::move(hook); }
+
+    // Takes a whole reading of the registry. Servers that are missing are gone at once, or, with `missingGraceUntil`
+    // in the future, at that time.
+    void apply(const std::vector<ServerRecord>& records, SteadyTime missingGraceUntil);
+    // Removes servers whose grace has passed.
+    void removeMissing();
+    // The failure domains whose servers must get no requests. Servers of a domain that is taken back count as cold for
+    // `coldAfterMs`.
+    void setEvacuated(std::set<std::string> domains, int64_t coldAfterMs);
+
+    // Servers of the service in any state.
+    const std::vector<BackendServerPointer>& servers(const std::string& service) const;
+    bool mayUse(const BackendServer& server) const;
+    size_t size() const noexcept { return this->byId.size(); }
+
+    // Bookkeeping around an attempt.
+    void beginAttempt(BackendServer& server);
+    void endAttempt(BackendServer& server, ServerOutcome outcome);
+    // `durationMs` of an attempt that was expected to take `expectedMs`.
+    void recordDuration(BackendServer& server, double durationMs, double expectedMs);
+    // The server's own report: running and waiting requests, this instance's included.
+    void recordLoad(BackendServer& server, int64_t running, int64_t waiting, int64_t slots);
+    void recordWarm(BackendServer& server, uint64_t objectHash);
+    void markLeaving(BackendServer& server, const char* reason);
+
+    // Whether one more request may go to a cold server; takes a token. `senders` is the number of instances that send
+    // to it, `perSecond` what it bears in all.
+    bool takeColdToken(BackendServer& server, double perSecond, int senders);
+
+private:
+    void update(BackendServer& server, const ServerRecord& record);
+
+    const Clock& clock;
+    std::map<std::string, std::string> regionOfDomain;
+    LeavingHook leavingHook;
+    std::map<std::string, BackendServerPointer> byId;
+    std::map<std::string, std::vector<BackendServerPointer>> byService;
+    std::set<std::string> evacuated;
+};
+
+}
--- /dev/null
+++ b/src/edge/include/wagtailrack/edge/EdgeNode.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <wagtailrack/edge/CallerSession.h>
+#include <wagtailrack/edge/ClusterCodec.h>
+#include <wagtailrack/edge/ClusterFollower.h>
+#include <wagtailrack/edge/EdgeSettings.h>
+#include <wagtailrack/edge/InstanceView.h>
+#include <wagtailrack/edge/MetadataStore.h>
+#include <wagtailrack/edge/RequestForwarder.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace wagtailrack::edge {
+
+// Paths of the calls that the instance answers itself, and how a look-up names its parts.
+struct EdgePaths {
+    std::string ready;
+    std::string lookup;
+    // Parameter with the caller's region, and fields of the answer.
+    std::string regionParameter;
+    std::string addressesField;
+    std::string validityField;
+};
+
+// Reads the settings again.
+using SettingsReader = std::function<Result<EdgeSettings>()>;
+
+// An instance at the edge: answers look-ups and forwards callers' requests. Lives for the process; everything runs on
+// the thread that calls run().
+//
+//     EdgeNode node(context, settings, readSettings, headers, paths, store, codec);
+//     if (auto status = node.start(); !status) ...
+//     context.run();   // until SIGTERM and the end of the last request
+class EdgeNode {
+public:
+    EdgeNode(asio::io_context& context, EdgeSettings settings, SettingsReader readSettings, HeaderVocabulary headers,
+        EdgePaths paths, MetadataStore& store, const ClusterCodec& codec);
+    ~EdgeNode();
+
+    // Opens the listeners. Fails when an address is in use.
+    Status start();
+
+private:
+    class LocalHandler;
+
+    HttpResponse answerLocally(const HttpRequest& request);
+    HttpResponse answerLookup(const std::string& query);
+    void sendBeat();
+    asio::awaitable<void> sendBeats();
+    asio::awaitable<void> receiveBeats();
+    asio::awaitable<void> keepHouse();
+    asio::awaitable<void> awaitSignals();
+    asio::awaitable<void> leave();
+    void reload(const char* cause);
+    void logMembership();
+
+    asio::io_context& context;
+    EdgeSettings settings;
+    SettingsReader readSettings;
+    HeaderVocabulary headers;
+    EdgePaths paths;
+    const Clock& clock;
+    DecisionLog log;
+    process::Metrics metrics;
+    InstanceView instances;
+    BackendFleet fleet;
+    ServerConnections serverConnections;
+    ServerConnections peerConnections;
+    ClusterFollower cluster;
+    RequestForwarder forwarder;
+    std::unique_ptr<LocalHandler> localHandler;
+    CallerListener callers;
+    CallerListener lookups;
+    CallerListener readiness;
+    CallerListener peers;
+    asio::ip::udp::socket beats;
+    asio::signal_set signals;
+    bool isLeaving = false;
+    size_t knownAlive = 0;
+};
+
+}
--- /dev/null
+++ b/src/edge/include/wagtailrack/edge/InstanceView.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <wagtailrack/base/Clock.h>
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wagtailrack::edge {
+
+// What an instance tells of itself in membership datagrams.
+struct InstanceBeat {
+    // IPv4 address in host byte order; identifies the instance.
+    uint32_t address = 0;
+    // Index into the sorted names of the failure domains.
+    uint8_t domain = 0;
+    bool isReady = false;
+    bool isLeaving = false;
+    // Start of the process in Unix milliseconds.
+    uint64_t incarnation = 0;
+    // Rises with each datagram that the instance sends.
+    uint32_t counter = 0;
+
+    friend bool operator==(const InstanceBeat&, const InstanceBeat&) = default;
+};
+
+// The instances of the system as this one sees them. An instance counts as alive as long as its counter rises, heard
+// from itself or through others, so that the answer does not depend on the store. Lives for the process; used by one
+// thread.
+class InstanceView {
+public:
+    // An instance whose counter has not risen for this long is not named to callers.
+    static constexpr Milliseconds silenceUntilGone { 2500 };
+    // Instances silent for this long are forgotten.
+    static constexpr Milliseconds silenceUntilForgotten { 60000 };
+    // Beats in one datagram; keeps it below the usual packet size.
+    static constexpr size_t maximumBeats = 70;
+
+    InstanceView(const Clock& clock, InstanceBeat self);
+
+    void setReady(bool ready) { this->self.isReady = ready; }
+    void setLeaving() { this->self.isLeaving = true; }
+    const InstanceBeat& own() const noexcept { return this->self; }
+
+    // An address from the registry, to send datagrams to. Nothing is known of its state.
+    void introduce(uint32_t address);
+
+    // The next datagram: this instance's own beat and those of others, chosen by turns when there are many.
+    std::string nextDatagram();
+    // Takes a datagram; false when it is malformed.
+    bool receive(std::string_view datagram);
+
+    // Alive instances, this one included.
+    std::vector<InstanceBeat> alive() const;
+    // Addresses to which the next datagram goes: `count` by turns, silent ones included.
+    std::vector<uint32_t> nextTargets(size_t count);
+    void forgetSilent();
+
+private:
+    struct Known {
+        InstanceBeat beat;
+        bool hasBeat = false;
+        SteadyTime roseAt;
+    };
+
+    void take(const InstanceBeat& beat, bool isSender);
+    bool isAlive(const Known& known) const;
+
+    const Clock& clock;
+    InstanceBeat self;
+    std::map<uint32_t, Known> others;
+    uint32_t beatTurn = 0;
+    uint32_t targetTurn = 0;
+};
+
+}
--- /dev/null
+++ b/src/edge/include/wagtailrack/edge/Placement.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <wagtailrack/edge/BackendFleet.h>
+#include <wagtailrack/edge/RoutingTable.h>
+
+#include <optional>
+#include <set>
+#include <string>
+
+namespace wagtailrack::edge {
+
+// Work of a route's requests as this instance measures it, on servers that have handled the object before and on others.
+struct WorkEstimate {
+    double coldMs = 0;
+    double warmMs = 0;
+
+    friend bool operator==(const WorkEstimate&, const WorkEstimate&) = default;
+};
+
+// What the choice of a server for one request depends on, beside the fleet.
+struct PlacementRequest {
+    const RouteRule& rule;
+    const ServiceRule& service;
+    // Empty when the request names no object.
+    std::string affinityKey;
+    // Region of this instance, the one that callers reach it from.
+    std::string region;
+    std::string failureDomain;
+    // Instances that may send to servers of this region.
+    int sendersInRegion = 1;
+    // Servers that must not be chosen again.
+    const std::set<const BackendServer*>& excluded;
+};
+
+struct PlacementChoice {
+    BackendServerPointer server;
+    // Waiting and work that the choice expects.
+    double expectedMs = 0;
+    double expectedWorkMs = 0;
+    uint64_t objectHash = 0;
+    bool isWarm = false;
+};
+
+// Estimated waiting time for a slot of the server.
+double estimateWaitMs(const BackendServer& server, const WorkEstimate& work, SteadyTime now);
+
+// Requests on the server: this instance's own and the reported ones of others while the report is valid.
+double estimateLoad(const BackendServer& server, SteadyTime now);
+
+// Chooses the server with the smallest expected time to answer. Each object has its own order of servers (rendezvous
+// hashing), the same on every instance; the first one of that order is taken to be warm. Nothing when no server may be
+// used. May take a token of a cold server.
+std::optional<PlacementChoice> chooseServer(
+    BackendFleet& fleet, const PlacementRequest& request, const WorkEstimate& work, SteadyTime now);
+
+}
--- /dev/null
+++ b/src/edge/include/wagtailrack/edge/ServerConnections.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <wagtailrack/edge/Http.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wagtailrack::edge {
+
+// How a call over HTTP ended.
+enum class CallEnd {
+    // `response` is a whole answer to this request.
+    Answered,
+    // No connection; nothing was sent.
+    ConnectFailed,
+    // A kept connection was closed before the request went out; nothing was sent.
+    NotSent,
+    // Reset, truncated, unreadable or another request's answer after the request was sent.
+    Broken,
+    // No answer until the deadline.
+    TimedOut,
+    // cancel() was called.
+    Cancelled,
+};
+
+const char* toString(CallEnd end) noexcept;
+
+// A connection to a server. Closes itself at its deadline, which is how a call on it times out.
+class ClientConnection {
+public:
+    explicit ClientConnection(asio::io_context& context);
+
+    Tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    SteadyTime idleUntil;
+    // Requests that this connection has carried.
+    int uses = 0;
+
+    // Closes the connection at `deadline` unless disarm() comes first.
+    void arm(SteadyTime deadline);
+    void disarm();
+    bool hasTimedOut() const noexcept { return this->timedOut; }
+    void close();
+
+private:
+    asio::steady_timer timer;
+    // Callbacks of the timer outlive the connection.
+    std::shared_ptr<uint64_t> armedCount = std::make_shared<uint64_t>(0);
+    bool timedOut = false;
+};
+
+using ClientConnectionPointer = std::shared_ptr<ClientConnection>;
+
+enum class ConnectionUse {
+    // An idle connection is used when there is one.
+    Reuse,
+    // A new connection, so that an unclear end cannot come from an idle connection that was closed meanwhile.
+    Fresh,
+};
+
+// One call: lives from the request until its end and can be cancelled meanwhile.
+struct Call {
+    HttpRequest request;
+    SteadyTime connectDeadline;
+    SteadyTime deadline;
+    ConnectionUse use = ConnectionUse::Reuse;
+    // Header that the answer must echo, and its value; empty accepts any answer.
+    std::string echoHeader;
+    std::string echoValue;
+
+    // Results.
+    HttpResponse response;
+    // Whether any byte of the request may have left.
+    bool wasSent = false;
+    // Bytes of an answer were read.
+    bool hasAnswerBytes = false;
+
+    // Ends the call soon with Cancelled.
+    void cancel();
+    bool isCancelled = false;
+    ClientConnectionPointer connection;
+};
+
+// Kept connections to servers, by address. Lives for the process; used by the event loop's thread only.
+class ServerConnections {
+public:
+    // Idle connections are closed after `maximumIdle`, or earlier when the server says so in Keep-Alive.
+    ServerConnections(asio::io_context& context, Milliseconds maximumIdle, int silenceMs);
+
+    // Sends call->request to `server` and reads the answer. A kept connection that turns out to be closed is replaced
+    // by a new one as long as nothing was sent.
+    asio::awaitable<CallEnd> run(std::shared_ptr<Call> call, Endpoint server);
+
+    // Closes idle connections to the address.
+    void forget(const Endpoint& server);
+    void closeIdle(SteadyTime now);
+    uint64_t opened() const noexcept { return this->openedCount; }
+
+private:
+    ClientConnectionPointer takeIdle(const Endpoint& server);
+    asio::awaitable<CallEnd> connect(std::shared_ptr<Call> call, const Endpoint& server);
+    asio::awaitable<CallEnd> exchange(std::shared_ptr<Call> call);
+    void release(const std::shared_ptr<Call>& call, const Endpoint& server);
+
+    asio::io_context& context;
+    Milliseconds maximumIdle;
+    int silenceMs;
+    uint64_t openedCount = 0;
+    std::map<Endpoint, std::vector<ClientConnectionPointer>> idle;
+};
+
+}
--- /dev/null
+++ b/src/edge/src/BackendFleet.cpp
@@ -0,0 +1,195 @@
+#include <wagtailrack/edge/BackendFleet.h>
+
+#include <wagtailrack/base/Hash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace wagtailrack::edge {
+
+namespace {
+
+// Weight of a new sample in the moving averages; about the last ten attempts count.
+constexpr double sampleWeight = 0.15;
+// Reports of load are out of date after about one run of work.
+constexpr Milliseconds loadReportValidity(1000);
+// A server that refuses connections twice in a row is left alone; doubled for each further failure.
+constexpr int unreachableBeforeAvoided = 2;
+constexpr Milliseconds firstAvoidance(1000);
+constexpr int maximumAvoidanceDoublings = 2;
+// Objects remembered for a server; bounds the memory of an instance.
+constexpr size_t maximumWarmObjects = 256;
+// Longer durations than this many times the expected one count as this many.
+constexpr double maximumSlowness = 20;
+
+double moveTowards(double average, double sample, double weight) { return average + weight * (sample - average); }
+
+}
+
+BackendFleet::BackendFleet(const Clock& clock, std::map<std::string, std::string> regionOfDomain)
+    : clock(clock)
+    , regionOfDomain(std::move(regionOfDomain))
+{
+}
+
+void BackendFleet::update(BackendServer& server, const ServerRecord& record)
+{
+    const SteadyTime now = this->clock.now();
+    const bool isNewReport = !(server.record == record);
+    server.removeAt = {};
+    if (isNewReport && record.coldLeftMs > 0)
+        server.coldUntil = std::max(server.coldUntil, now + Milliseconds(record.coldLeftMs));
+    const bool wasLeaving = server.isLeaving;
+    server.record = record;
+    if (record.state == version::ServerState::Draining && !wasLeaving)
+        this->markLeaving(server, "draining");
+}
+
+void BackendFleet::apply(const std::vector<ServerRecord>& records, SteadyTime missingGraceUntil)
+{
+    const SteadyTime now = this->clock.now();
+    std::set<std::string> present;
+    for (const ServerRecord& record : records) {
+        present.insert(record.id);
+        BackendServerPointer& server = this->byId[record.id];
+        // A restart under the same id is another server: what was learned of the former one does not hold.
+        const bool isRestart = server && record.startedAtMs != server->record.startedAtMs;
+        if (!server || isRestart || server->record.service != record.service
+            || server->record.address != record.address) {
+            if (server)
+                this->markLeaving(*server, "replaced");
+            server = std::make_shared<BackendServer>();
+            server->firstSeen = now;
+            server->coldTokensAt = now;
+            server->placementHash = hash64(record.id);
+        }
+        const auto region = this->regionOfDomain.find(record.failureDomain);
+        server->region = region == this->regionOfDomain.end() ? std::string() : region->second;
+        this->update(*server, record);
+    }
+    for (auto& [id, server] : this->byId) {
+        if (present.contains(id))
+            continue;
+        if (server->removeAt == SteadyTime() || missingGraceUntil < server->removeAt)
+            server->removeAt = std::max(missingGraceUntil, now);
+    }
+    this->removeMissing();
+    this->byService.clear();
+    for (const auto& [id, server] : this->byId)
+        this->byService[server->record.service].push_back(server);
+}
+
+void BackendFleet::removeMissing()
+{
+    const SteadyTime now = this->clock.now();
+    bool changed = false;
+    for (auto entry = this->byId.begin(); entry != this->byId.end();) {
+        BackendServer& server = *entry->second;
+        if (server.removeAt == SteadyTime() || server.removeAt > now) {
+            ++entry;
+            continue;
+        }
+        this->markLeaving(server, "gone");
+        entry = this->byId.erase(entry);
+        changed = true;
+    }
+    if (!changed)
+        return;
+    this->byService.clear();
+    for (const auto& [id, server] : this->byId)
+        this->byService[server->record.service].push_back(server);
+}
+
+void BackendFleet::setEvacuated(std::set<std::string> domains, int64_t coldAfterMs)
+{
+    const SteadyTime now = this->clock.now();
+    for (const auto& [id, server] : this->byId) {
+        const std::string& domain = server->record.failureDomain;
+        // Caches of an evacuated domain may be lost, and its servers are used again slowly.
+        if (this->evacuated.contains(domain) && !domains.contains(domain))
+            server->coldUntil = std::max(server->coldUntil, now + Milliseconds(coldAfterMs));
+    }
+    this->evacuated = std::move(domains);
+}
+
+const std::vector<BackendServerPointer>& BackendFleet::servers(const std::string& service) const
+{
+    static const std::vector<BackendServerPointer> none;
+    const auto found = this->byService.find(service);
+    return found == this->byService.end() ? none : found->second;
+}
+
+bool BackendFleet::mayUse(const BackendServer& server) const
+{
+    return !server.isLeaving && !this->evacuated.contains(server.record.failureDomain);
+}
+
+void BackendFleet::beginAttempt(BackendServer& server) { ++server.inFlight; }
+
+void BackendFleet::endAttempt(BackendServer& server, ServerOutcome outcome)
+{
+    const SteadyTime now = this->clock.now();
+    --server.inFlight;
+    const bool isFailure = outcome != ServerOutcome::Answered;
+    server.failureRate = moveTowards(server.failureRate, isFailure ? 1 : 0, sampleWeight);
+    if (outcome != ServerOutcome::Unreachable) {
+        server.unreachableInARow = 0;
+        return;
+    }
+    if (++server.unreachableInARow < unreachableBeforeAvoided)
+        return;
+    const int doublings = std::min(server.unreachableInARow - unreachableBeforeAvoided, maximumAvoidanceDoublings);
+    server.avoidUntil = now + firstAvoidance * (1 << doublings);
+}
+
+void BackendFleet::recordDuration(BackendServer& server, double durationMs, double expectedMs)
+{
+    const double ratio = std::clamp(durationMs / std::max(expectedMs, 1.0), 0.2, maximumSlowness);
+    server.slowness = moveTowards(server.slowness, ratio, sampleWeight);
+    if (server.averageWorkMs <= 0)
+        server.averageWorkMs = durationMs;
+    else
+        server.averageWorkMs = moveTowards(server.averageWorkMs, durationMs, sampleWeight);
+}
+
+void BackendFleet::recordLoad(BackendServer& server, int64_t running, int64_t waiting, int64_t slots)
+{
+    server.othersLoad = std::max<double>(0, static_cast<double>(running + waiting - server.inFlight));
+    server.othersLoadUntil = this->clock.now() + loadReportValidity;
+    if (slots > 0)
+        server.record.slots = slots;
+}
+
+void BackendFleet::recordWarm(BackendServer& server, uint64_t objectHash)
+{
+    if (server.warmObjects.size() >= maximumWarmObjects) {
+        const auto oldest = std::min_element(server.warmObjects.begin(), server.warmObjects.end(),
+            [](const auto& left, const auto& right) { return left.second < right.second; });
+        server.warmObjects.erase(oldest);
+    }
+    server.warmObjects[objectHash] = this->clock.now();
+}
+
+void BackendFleet::markLeaving(BackendServer& server, const char* reason)
+{
+    if (server.isLeaving)
+        return;
+    server.isLeaving = true;
+    if (this->leavingHook)
+        this->leavingHook(server, reason);
+}
+
+bool BackendFleet::takeColdToken(BackendServer& server, double perSecond, int senders)
+{
+    const SteadyTime now = this->clock.now();
+    const double elapsed = std::chrono::duration<double>(now - server.coldTokensAt).count();
+    const double refill = elapsed * perSecond / std::max(senders, 1);
+    server.coldTokens = std::min(1.0, server.coldTokens + refill);
+    server.coldTokensAt = now;
+    if (server.coldTokens < 1)
+        return false;
+    server.coldTokens -= 1;
+    return true;
+}
+
+}
--- /dev/null
+++ b/src/edge/src/CallerSession.cpp
@@ -0,0 +1,266 @@
+#include <wagtailrack/edge/CallerSession.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace wagtailrack::edge {
+
+namespace {
+
+using boost::system::error_code;
+
+// Requests of one connection that are read ahead of their answers; bounds the memory of a connection.
+constexpr size_t maximumPipelined = 16;
+// Connections waiting to be accepted.
+constexpr int listenBacklog = 1024;
+// Callers may be slow, but a connection whose bytes are not acknowledged for this long is over.
+constexpr int callerSilenceMs = 8000;
+// Pause after accept() fails for want of descriptors.
+constexpr Milliseconds acceptPause(20);
+
+}
+
+CallerSession::CallerSession(
+    asio::io_context& context, Tcp::socket socket, RequestHandler& handler, CallerListener& listener)
+    : context(context)
+    , socket(std::move(socket))
+    , handler(handler)
+    , listener(listener)
+    , changed(context, SteadyTime::max())
+    , readTimer(context)
+{
+}
+
+void CallerSession::start()
+{
+    this->listener.sessions.insert(this);
+    const auto self = this->shared_from_this();
+    asio::co_spawn(
+        this->context, [self] { return self->readRequests(); }, asio::detached);
+    asio::co_spawn(
+        this->context, [self] { return self->writeAnswers(); },
+        [self](std::exception_ptr) { self->listener.sessions.erase(self.get()); });
+}
+
+void CallerSession::wake() { this->changed.cancel(); }
+
+void CallerSession::close()
+{
+    if (!this->isOpen)
+        return;
+    this->isOpen = false;
+    error_code ignored;
+    this->socket.close(ignored);
+    this->readTimer.cancel();
+    this->wake();
+}
+
+void CallerSession::callerLeft()
+{
+    for (const ExchangePointer& exchange : this->waiting) {
+        exchange->hasCallerLeft = true;
+        if (exchange->onCallerLeft)
+            exchange->onCallerLeft();
+    }
+    this->close();
+}
+
+void CallerSession::armReadTimer(SteadyTime deadline)
+{
+    this->readTimer.expires_at(deadline);
+    this->readTimer.async_wait([weak = this->weak_from_this()](error_code failure) {
+        const auto self = weak.lock();
+        // Callers that wait for answers are not idle.
+        if (failure || !self || !self->waiting.empty())
+            return;
+        self->close();
+    });
+}
+
+asio::awaitable<void> CallerSession::readRequests()
+{
+    const auto self = this->shared_from_this();
+    while (this->isOpen) {
+        error_code failure;
+        if (this->waiting.size() >= maximumPipelined) {
+            co_await this->changed.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+            continue;
+        }
+        const CallerLimits limits = this->handler.limits();
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<uint32_t>(limits.maxHeaderBytes));
+        parser.body_limit(static_cast<uint64_t>(limits.maxBodyBytes));
+        this->armReadTimer(std::chrono::steady_clock::now() + Milliseconds(limits.idleTimeoutMs));
+        co_await http::async_read_header(
+            this->socket, this->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+        if (!failure && !parser.is_done()) {
+            this->isReadingRequest = true;
+            co_await http::async_read(
+                this->socket, this->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+            this->isReadingRequest = false;
+        }
+        if (!this->isOpen)
+            co_return;
+        const bool isMalformed = failure && failure != http::error::end_of_stream
+            && failure != http::error::partial_message
+            && failure.category() == http::make_error_code(http::error::end_of_stream).category();
+        if (failure && !isMalformed) {
+            this->callerLeft();
+            co_return;
+        }
+        const auto exchange = std::make_shared<Exchange>();
+        exchange->arrivedAt = std::chrono::steady_clock::now();
+        const bool isFirst = this->waiting.empty();
+        this->waiting.push_back(exchange);
+        if (isMalformed) {
+            http::status status = http::status::bad_request;
+            if (failure == http::error::body_limit)
+                status = http::status::payload_too_large;
+            if (failure == http::error::header_limit)
+                status = http::status::request_header_fields_too_large;
+            exchange->response = makeAnswer(status, failure.message() + "\n");
+            exchange->response.keep_alive(false);
+            exchange->isAnswered = true;
+            this->wake();
+            co_return;
+        }
+        exchange->request = parser.release();
+        if (isFirst || this->handler.mayStartEarly(exchange->request))
+            asio::co_spawn(
+                this->context, [self, exchange] { return self->runExchange(exchange); }, asio::detached);
+        this->wake();
+    }
+}
+
+asio::awaitable<void> CallerSession::runExchange(ExchangePointer exchange)
+{
+    const auto self = this->shared_from_this();
+    exchange->isStarted = true;
+    co_await this->handler.handle(exchange);
+    exchange->onCallerLeft = nullptr;
+    exchange->isAnswered = true;
+    this->wake();
+}
+
+asio::awaitable<void> CallerSession::writeAnswers()
+{
+    const auto self = this->shared_from_this();
+    while (this->isOpen) {
+        error_code failure;
+        if (this->waiting.empty() || !this->waiting.front()->isAnswered) {
+            co_await this->changed.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+            continue;
+        }
+        const ExchangePointer exchange = this->waiting.front();
+        const bool isMalformed = exchange->request.target().empty();
+        const bool keepAlive
+            = !isMalformed && exchange->request.keep_alive() && !this->handler.isClosing();
+        HttpResponse& response = exchange->response;
+        response.version(exchange->request.version() == 10 ? 10 : 11);
+        response.keep_alive(keepAlive);
+        if (exchange->request.method() == http::verb::head)
+            response.body().clear();
+        else
+            response.prepare_payload();
+        co_await http::async_write(this->socket, response, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure) {
+            this->callerLeft();
+            co_return;
+        }
+        this->waiting.pop_front();
+        if (!keepAlive) {
+            // Requests behind this answer count as not read; those already started are given up.
+            for (const ExchangePointer& behind : this->waiting) {
+                behind->hasCallerLeft = true;
+                if (behind->onCallerLeft)
+                    behind->onCallerLeft();
+            }
+            this->waiting.clear();
+            this->socket.shutdown(Tcp::socket::shutdown_send, failure);
+            // Closing with unread bytes would reset the connection before the caller has read the answer.
+            asio::steady_timer linger(this->context, Milliseconds(500));
+            co_await linger.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+            this->close();
+            co_return;
+        }
+        if (this->waiting.empty()) {
+            this->armReadTimer(std::chrono::steady_clock::now() + Milliseconds(this->handler.limits().idleTimeoutMs));
+        } else if (!this->waiting.front()->isStarted && !this->waiting.front()->isAnswered) {
+            const ExchangePointer next = this->waiting.front();
+            asio::co_spawn(
+                this->context, [self, next] { return self->runExchange(next); }, asio::detached);
+        }
+        this->wake();
+    }
+}
+
+CallerListener::CallerListener(asio::io_context& context, RequestHandler& handler)
+    : context(context)
+    , handler(handler)
+    , acceptor(context)
+{
+}
+
+Status CallerListener::open(const Endpoint& address)
+{
+    const Tcp::endpoint endpoint = toTcp(address);
+    error_code failure;
+    this->acceptor.open(endpoint.protocol(), failure);
+    if (!failure)
+        this->acceptor.set_option(Tcp::acceptor::reuse_address(true), failure);
+    if (!failure)
+        this->acceptor.bind(endpoint, failure);
+    if (!failure)
+        this->acceptor.listen(listenBacklog, failure);
+    if (failure)
+        return makeError(ErrorCode::ConnectFailed, address.toString(), failure.message());
+    asio::co_spawn(
+        this->context, [this] { return this->acceptConnections(); }, asio::detached);
+    return success();
+}
+
+asio::awaitable<void> CallerListener::acceptConnections()
+{
+    while (this->acceptor.is_open()) {
+        error_code failure;
+        Tcp::socket socket(this->context);
+        co_await this->acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure) {
+            asio::steady_timer pause(this->context, acceptPause);
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+            continue;
+        }
+        detectSilence(socket, callerSilenceMs);
+        std::make_shared<CallerSession>(this->context, std::move(socket), this->handler, *this)->start();
+    }
+}
+
+void CallerListener::close()
+{
+    error_code ignored;
+    this->acceptor.close(ignored);
+}
+
+void CallerListener::closeIdleSessions()
+{
+    const std::set<CallerSession*> all = this->sessions;
+    for (CallerSession* session : all) {
+        if (session->isIdle())
+            session->close();
+    }
+}
+
+size_t CallerListener::busySessionCount() const noexcept
+{
+    size_t count = 0;
+    for (const CallerSession* session : this->sessions)
+        count += session->isIdle() ? 0 : 1;
+    return count;
+}
+
+}
--- /dev/null
+++ b/src/edge/src/DecisionLog.cpp
@@ -0,0 +1,135 @@
+#include <wagtailrack/edge/DecisionLog.h>
+
+#include <fcntl.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <charconv>
+
+namespace wagtailrack::edge {
+
+namespace {
+
+// Values with blanks, quotes or control characters are quoted, so that a line stays one line.
+std::string quoteIfNeeded(std::string_view text)
+{
+    bool isPlain = !text.empty();
+    for (const char character : text) {
+        if (character <= ' ' || character == '"' || character == '\\' || character == '=' || character == 127)
+            isPlain = false;
+    }
+    if (isPlain)
+        return std::string(text);
+    std::string quoted = "\"";
+    for (const char character : text) {
+        if (character == '"' || character == '\\')
+            quoted += '\\';
+        quoted += static_cast<unsigned char>(character) < ' ' ? '?' : character;
+    }
+    return quoted + '"';
+}
+
+}
+
+LogField::LogField(const char* name, std::string_view text)
+    : name(name)
+    , value(quoteIfNeeded(text))
+{
+}
+
+LogField::LogField(const char* name, const char* text)
+    : LogField(name, std::string_view(text))
+{
+}
+
+LogField::LogField(const char* name, const std::string& text)
+    : LogField(name, std::string_view(text))
+{
+}
+
+LogField::LogField(const char* name, int64_t number)
+    : name(name)
+    , value(std::to_string(number))
+{
+}
+
+LogField::LogField(const char* name, uint64_t number)
+    : name(name)
+    , value(std::to_string(number))
+{
+}
+
+LogField::LogField(const char* name, int number)
+    : name(name)
+    , value(std::to_string(number))
+{
+}
+
+DecisionLog::DecisionLog(const Clock& clock, std::string instance, int descriptor)
+    : clock(clock)
+    , instance(std::move(instance))
+    , descriptor(descriptor)
+{
+}
+
+bool DecisionLog::mayWrite(LogImportance importance)
+{
+    const SteadyTime now = this->clock.now();
+    if (now >= this->secondEnds) {
+        this->secondEnds = now + Milliseconds(1000);
+        this->linesInSecond = 0;
+    }
+    ++this->linesInSecond;
+    if (this->pending.size() >= maximumPendingBytes)
+        return false;
+    return importance == LogImportance::State || this->linesInSecond <= requestLinesPerSecond;
+}
+
+void DecisionLog::write(LogImportance importance, const char* event, std::initializer_list<LogField> fields)
+{
+    if (!this->mayWrite(importance)) {
+        ++this->dropped;
+        return;
+    }
+    std::string& line = this->pending;
+    line += "time=";
+    line += std::to_string(toUnixMilliseconds(this->clock.wallNow()));
+    line += " instance=";
+    line += this->instance;
+    line += " event=";
+    line += event;
+    for (const LogField& field : fields) {
+        line += ' ';
+        line += field.name;
+        line += '=';
+        line += field.value;
+    }
+    if (this->dropped != this->reportedDropped) {
+        line += " lines_dropped=";
+        line += std::to_string(this->dropped - this->reportedDropped);
+        this->reportedDropped = this->dropped;
+    }
+    line += '\n';
+}
+
+void DecisionLog::flush()
+{
+    while (!this->pending.empty()) {
+        // poll() tells whether a write would wait; the descriptor's own mode is shared with other processes.
+        pollfd state { this->descriptor, POLLOUT, 0 };
+        if (::poll(&state, 1, 0) <= 0 || (state.revents & POLLOUT) == 0)
+            return;
+        // A pipe that is writable takes at least this much.
+        constexpr size_t atomicBytes = 4096;
+        const size_t size = std::min(this->pending.size(), atomicBytes);
+        const ssize_t written = ::write(this->descriptor, this->pending.data(), size);
+        if (written <= 0) {
+            // The reader is gone: nobody is left to tell.
+            this->pending.clear();
+            return;
+        }
+        this->pending.erase(0, static_cast<size_t>(written));
+    }
+}
+
+}
--- /dev/null
+++ b/src/edge/src/ServerConnections.cpp
@@ -0,0 +1,262 @@
+#include <wagtailrack/edge/ServerConnections.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace wagtailrack::edge {
+
+namespace {
+
+using boost::system::error_code;
+
+// Answers of other requests that are skipped before the connection is given up.
+constexpr int maximumSkippedAnswers = 2;
+// Answers are held in memory whole; a larger one is an error.
+constexpr uint64_t maximumAnswerBytes = 16 * 1024 * 1024;
+// A kept connection is dropped this long before the server would close it.
+constexpr Milliseconds keepAliveMargin(700);
+
+// Seconds of "timeout=N" in a Keep-Alive header, below zero when there are none.
+int keepAliveSeconds(boost::beast::string_view text)
+{
+    const auto position = text.find("timeout=");
+    if (position == boost::beast::string_view::npos)
+        return -1;
+    int seconds = -1;
+    const char* first = text.data() + position + 8;
+    std::from_chars(first, text.data() + text.size(), seconds);
+    return seconds;
+}
+
+// Sends the request while the answer is read, so that an early answer does not wait for a long body.
+struct Sending {
+    bool isDone = false;
+    bool hasFailed = false;
+};
+
+asio::awaitable<void> send(
+    ClientConnectionPointer connection, std::shared_ptr<Call> call, std::shared_ptr<Sending> sending)
+{
+    error_code failure;
+    co_await http::async_write(
+        connection->socket, call->request, asio::redirect_error(asio::use_awaitable, failure));
+    sending->isDone = true;
+    sending->hasFailed = failure.failed();
+}
+
+}
+
+const char* toString(CallEnd end) noexcept
+{
+    switch (end) {
+    case CallEnd::Answered:
+        return "answered";
+    case CallEnd::ConnectFailed:
+        return "connect-failed";
+    case CallEnd::NotSent:
+        return "not-sent";
+    case CallEnd::Broken:
+        return "broken";
+    case CallEnd::TimedOut:
+        return "timed-out";
+    case CallEnd::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+ClientConnection::ClientConnection(asio::io_context& context)
+    : socket(context)
+    , timer(context)
+{
+}
+
+void ClientConnection::arm(SteadyTime deadline)
+{
+    const uint64_t armed = ++*this->armedCount;
+    this->timer.expires_at(deadline);
+    this->timer.async_wait([this, armed, count = this->armedCount](error_code failure) {
+        // A later arm(), disarm() or the end of the connection has changed the count.
+        if (failure || *count != armed)
+            return;
+        this->timedOut = true;
+        this->close();
+    });
+}
+
+void ClientConnection::disarm()
+{
+    ++*this->armedCount;
+    this->timer.cancel();
+}
+
+void ClientConnection::close()
+{
+    error_code ignored;
+    this->socket.close(ignored);
+}
+
+void Call::cancel()
+{
+    this->isCancelled = true;
+    if (this->connection)
+        this->connection->close();
+}
+
+ServerConnections::ServerConnections(asio::io_context& context, Milliseconds maximumIdle, int silenceMs)
+    : context(context)
+    , maximumIdle(maximumIdle)
+    , silenceMs(silenceMs)
+{
+}
+
+ClientConnectionPointer ServerConnections::takeIdle(const Endpoint& server)
+{
+    const auto found = this->idle.find(server);
+    if (found == this->idle.end())
+        return nullptr;
+    const SteadyTime now = std::chrono::steady_clock::now();
+    auto& connections = found->second;
+    while (!connections.empty()) {
+        // The newest first: the others grow old and are closed.
+        const ClientConnectionPointer connection = connections.back();
+        connections.pop_back();
+        if (now < connection->idleUntil && !isStale(connection->socket))
+            return connection;
+        connection->close();
+    }
+    return nullptr;
+}
+
+asio::awaitable<CallEnd> ServerConnections::connect(std::shared_ptr<Call> call, const Endpoint& server)
+{
+    call->connection = std::make_shared<ClientConnection>(this->context);
+    const ClientConnectionPointer connection = call->connection;
+    connection->arm(std::min(call->connectDeadline, call->deadline));
+    error_code failure;
+    const Tcp::endpoint endpoint = toTcp(server);
+    co_await connection->socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, failure));
+    connection->disarm();
+    if (call->isCancelled)
+        co_return CallEnd::Cancelled;
+    if (failure || connection->hasTimedOut()) {
+        connection->close();
+        co_return CallEnd::ConnectFailed;
+    }
+    ++this->openedCount;
+    detectSilence(connection->socket, this->silenceMs);
+    co_return CallEnd::Answered;
+}
+
+asio::awaitable<CallEnd> ServerConnections::exchange(std::shared_ptr<Call> call)
+{
+    const ClientConnectionPointer connection = call->connection;
+    connection->arm(call->deadline);
+    ++connection->uses;
+    call->wasSent = true;
+    const auto sending = std::make_shared<Sending>();
+    asio::co_spawn(this->context, send(connection, call, sending), asio::detached);
+    CallEnd end = CallEnd::Broken;
+    for (int skipped = 0; skipped <= maximumSkippedAnswers; ++skipped) {
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(maximumAnswerBytes);
+        if (call->request.method() == http::verb::head)
+            parser.skip(true);
+        error_code failure;
+        co_await http::async_read(
+            connection->socket, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+        call->hasAnswerBytes = call->hasAnswerBytes || parser.got_some();
+        if (call->isCancelled) {
+            end = CallEnd::Cancelled;
+            break;
+        }
+        if (connection->hasTimedOut()) {
+            end = CallEnd::TimedOut;
+            break;
+        }
+        if (failure)
+            break;
+        // An interim answer (1xx) is followed by the final one.
+        if (parser.get().result_int() < 200)
+            continue;
+        if (!call->echoHeader.empty() && headerText(parser.get().base(), call->echoHeader) != call->echoValue)
+            continue;
+        // Bytes beyond the answer belong to no request; a body that is still being sent must not be cut off by the
+        // next request. Either way the connection is not used again.
+        const bool canReuse = parser.keep_alive() && !parser.need_eof() && sending->isDone && !sending->hasFailed
+            && connection->buffer.size() == 0;
+        call->response = parser.release();
+        if (!canReuse)
+            connection->close();
+        end = CallEnd::Answered;
+        break;
+    }
+    connection->disarm();
+    if (end != CallEnd::Answered)
+        connection->close();
+    co_return end;
+}
+
+void ServerConnections::release(const std::shared_ptr<Call>& call, const Endpoint& server)
+{
+    const ClientConnectionPointer connection = std::move(call->connection);
+    if (!connection || !connection->socket.is_open())
+        return;
+    const int seconds = keepAliveSeconds(call->response[http::field::keep_alive]);
+    Milliseconds idleFor = this->maximumIdle;
+    if (seconds >= 0)
+        idleFor = std::min(idleFor, Milliseconds(seconds * 1000) - keepAliveMargin);
+    if (idleFor <= Milliseconds(0)) {
+        connection->close();
+        return;
+    }
+    connection->idleUntil = std::chrono::steady_clock::now() + idleFor;
+    this->idle[server].push_back(connection);
+}
+
+asio::awaitable<CallEnd> ServerConnections::run(std::shared_ptr<Call> call, Endpoint server)
+{
+    if (call->use == ConnectionUse::Reuse)
+        call->connection = this->takeIdle(server);
+    if (!call->connection) {
+        const CallEnd connected = co_await this->connect(call, server);
+        if (connected != CallEnd::Answered)
+            co_return connected;
+    }
+    const CallEnd end = co_await this->exchange(call);
+    this->release(call, server);
+    co_return end;
+}
+
+void ServerConnections::forget(const Endpoint& server)
+{
+    const auto found = this->idle.find(server);
+    if (found == this->idle.end())
+        return;
+    for (const ClientConnectionPointer& connection : found->second)
+        connection->close();
+    this->idle.erase(found);
+}
+
+void ServerConnections::closeIdle(SteadyTime now)
+{
+    for (auto entry = this->idle.begin(); entry != this->idle.end();) {
+        std::erase_if(entry->second, [now](const ClientConnectionPointer& connection) {
+            const bool isOver = connection->idleUntil <= now || isStale(connection->socket);
+            if (isOver)
+                connection->close();
+            return isOver;
+        });
+        entry = entry->second.empty() ? this->idle.erase(entry) : std::next(entry);
+    }
+}
+
+}
