Reject requests that arrive late in a planned stop

Ruled out: the forced end itself, which falls into the last sixth of the grace period. Now requests are taken for 0.4 of it and rejected after.

--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -44,8 +44,13 @@
     CallerLimits limits() const override;
     bool isClosing() const override { return this->leaving; }
 
-    // From now on answers end their connections.
-    void setLeaving() { this->leaving = true; }
+    // From now on answers end their connections. Requests that arrive after `acceptUntil` are rejected: they would not
+    // end before the process does.
+    void setLeaving(SteadyTime acceptUntil)
+    {
+        this->leaving = true;
+        this->acceptUntil = acceptUntil;
+    }
     int64_t inFlight() const noexcept { return this->running; }
 
 private:
@@ -102,6 +107,7 @@
     std::map<std::string, std::map<std::string, double>> splitDebts;
     int64_t running = 0;
     bool leaving = false;
+    SteadyTime acceptUntil;
 };
 
 }
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -41,6 +41,8 @@
 // which the process ends at the latest.
 constexpr int64_t shortestLeaveMs = 2500;
 constexpr int64_t forcedEndBeforeMs = 250;
+// Part of the grace period in which requests of callers that have not left yet are still taken.
+constexpr double acceptingPart = 0.4;
 
 uint8_t domainIndex(const EdgeSettings& settings)
 {
@@ -344,7 +346,8 @@
     const SteadyTime shortest = startedAt + Milliseconds(shortestLeaveMs);
     const SteadyTime latest = startedAt + Milliseconds(this->settings.bounds.gracePeriodMs - forcedEndBeforeMs);
     this->instances.setLeaving();
-    this->forwarder.setLeaving();
+    this->forwarder.setLeaving(startedAt
+        + Milliseconds(static_cast<int64_t>(acceptingPart * static_cast<double>(this->settings.bounds.gracePeriodMs))));
     // Peers stop naming this instance to callers from now on.
     this->sendBeat();
     asio::co_spawn(
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -176,6 +176,10 @@
     const HeaderVocabulary& headers = this->services.headers;
     flight.id = headerText(request.base(), headers.requestId);
     flight.deadline = flight.exchange->arrivedAt + Milliseconds(1000);
+    if (this->leaving && flight.exchange->arrivedAt >= this->acceptUntil) {
+        this->reject(flight, "stopping", 0);
+        return false;
+    }
     flight.table = this->services.cluster.table();
     if (!flight.table) {
         this->reject(flight, "no-configuration", startReturnSeconds);
