Trial: shares of regions that move slowly, admission by target latency

Cause looked for: the two instances' region with two servers of a service is overloaded while another has six. Requests divided over regions one by one make servers of two regions cold on each object.

--- a/src/edge/include/wagtailrack/edge/ClusterFollower.h
+++ b/src/edge/include/wagtailrack/edge/ClusterFollower.h
@@ -45,6 +45,7 @@
     asio::awaitable<void> followOperator();
     asio::awaitable<void> watchOperator();
     asio::awaitable<void> followServers();
+    asio::awaitable<void> followPeers();
     asio::awaitable<void> keepRegistered();
     asio::awaitable<bool> readOperator();
     asio::awaitable<bool> readServers();
@@ -54,6 +55,8 @@
     void applyOperator(std::map<std::string, StoreItem> items, int64_t revision, SteadyTime readAt, const char* source);
     void applyServers(std::vector<StoreItem> items, int64_t revision, SteadyTime readAt, const char* source);
     void noteStore(bool isReachable, const char* call, const std::string& detail);
+    int64_t operatorAgeMs() const;
+    int64_t oldestAgeMs() const;
     std::string regionReader() const;
     std::string otherPeer();
     bool isRegionReader() const;
@@ -87,6 +90,7 @@
     std::map<std::string, int64_t> refusedServerRevisions;
 
     bool isStoreReachable = true;
+    SteadyTime storeAnsweredAt;
     size_t peerTurn = 0;
     int64_t lease = 0;
 };
--- a/src/edge/include/wagtailrack/edge/Placement.h
+++ b/src/edge/include/wagtailrack/edge/Placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <wagtailrack/edge/BackendFleet.h>
+#include <wagtailrack/edge/RegionShares.h>
 #include <wagtailrack/edge/RoutingTable.h>
 
 #include <optional>
@@ -26,6 +27,8 @@
     // Region of this instance, the one that callers reach it from.
     std::string region;
     std::string failureDomain;
+    // Time that another region adds to an answer.
+    double otherRegionMs = 0;
     // Instances that may send to servers of this region.
     int sendersInRegion = 1;
     // Servers that must not be chosen again.
@@ -37,6 +40,7 @@
     // Waiting and work that the choice expects.
     double expectedMs = 0;
     double expectedWorkMs = 0;
+    double expectedWaitMs = 0;
     uint64_t objectHash = 0;
     bool isWarm = false;
 };
@@ -47,10 +51,15 @@
 // Requests on the server: this instance's own and the reported ones of others while the report is valid.
 double estimateLoad(const BackendServer& server, SteadyTime now);
 
-// Chooses the server with the smallest expected time to answer. Each object has its own order of servers (rendezvous
+// Longest wait for a slot that an answer within the target latency, or nearly so, allows. While requests come faster
+// than they can be served, longer queues serve no more of them and all of them late.
+double longestWaitMs(const RouteRule& rule, double workMs);
+
+// Chooses the region by `shares` and in it the server with the smallest expected time to answer. Each object has its own order of servers (rendezvous
 // hashing), the same on every instance; the first one of that order is taken to be warm. Nothing when no server may be
 // used. May take a token of a cold server.
 std::optional<PlacementChoice> chooseServer(
-    BackendFleet& fleet, const PlacementRequest& request, const WorkEstimate& work, SteadyTime now);
+    BackendFleet& fleet, RegionShares& shares, const PlacementRequest& request, const WorkEstimate& work,
+    SteadyTime now);
 
 }
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -95,6 +95,7 @@
     void deliver(Flight& flight, HttpResponse response, const char* outcome);
     void finish(const Flight& flight);
     std::string chooseService(const RouteRule& rule);
+    RegionShares& regionSharesOf(const std::string& service);
     WorkEstimate& workOf(const RouteRule& rule);
     int instancesInRegion() const;
     double leftMs(const Flight& flight) const;
@@ -103,6 +104,7 @@
     ForwarderServices services;
     std::map<std::string, RetryAllowance> allowances;
     std::map<std::string, WorkEstimate> works;
+    std::map<std::string, RegionShares> regionShares;
     // Error of each share's count against its weight, by route and service.
     std::map<std::string, std::map<std::string, double>> splitDebts;
     int64_t running = 0;
--- a/src/edge/src/ClusterFollower.cpp
+++ b/src/edge/src/ClusterFollower.cpp
@@ -103,6 +103,8 @@
         this->context, [this] { return this->followOperator(); }, asio::detached);
     asio::co_spawn(
         this->context, [this] { return this->followServers(); }, asio::detached);
+    asio::co_spawn(
+        this->context, [this] { return this->followPeers(); }, asio::detached);
     asio::co_spawn(
         this->context, [this] { return this->keepRegistered(); }, asio::detached);
 }
@@ -114,6 +116,19 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+int64_t ClusterFollower::operatorAgeMs() const
+{
+    // While a watch waits, any answer of the store shows that it would have told of a change.
+    const SteadyTime readAt
+        = this->isWatching ? std::max(this->operatorReadAt, this->storeAnsweredAt) : this->operatorReadAt;
+    return millisecondsBetween(readAt, this->clock.now());
+}
+
+int64_t ClusterFollower::oldestAgeMs() const
+{
+    return std::max(this->operatorAgeMs(), this->hasServers ? this->serversAgeMs() : outageMs);
+}
+
 int64_t ClusterFollower::serversAgeMs() const { return millisecondsBetween(this->serversReadAt, this->clock.now()); }
 
 std::string ClusterFollower::regionReader() const
@@ -150,6 +165,8 @@
 
 void ClusterFollower::noteStore(bool isReachable, const char* call, const std::string& detail)
 {
+    if (isReachable)
+        this->storeAnsweredAt = this->clock.now();
     if (isReachable == this->isStoreReachable)
         return;
     this->isStoreReachable = isReachable;
@@ -200,7 +217,7 @@
 asio::awaitable<void> ClusterFollower::followOperator()
 {
     while (true) {
-        const int64_t ageMs = millisecondsBetween(this->operatorReadAt, this->clock.now());
+        const int64_t ageMs = this->operatorAgeMs();
         if (!this->isRegionReader() && this->activeTable && ageMs < relianceMs) {
             co_await this->sleep(tickMs);
             continue;
@@ -241,20 +258,31 @@
         const bool isReader = reader == this->settings.address;
         if (now >= nextRead && ageMs >= (isReader || !this->hasServers ? readIntervalMs : relianceMs)) {
             const bool wasRead = co_await this->readServers();
-            if (!wasRead) {
+            if (!wasRead)
                 nextRead = this->clock.now() + Milliseconds(retryPauseMs);
-                const std::string peer = this->otherPeer();
-                if (!peer.empty())
-                    co_await this->askPeer(peer);
-            }
-        } else if (!isReader && ageMs >= askIntervalMs) {
-            co_await this->askPeer(reader);
         }
         this->fleet.removeMissing();
         co_await this->sleep(tickMs);
     }
 }
 
+asio::awaitable<void> ClusterFollower::followPeers()
+{
+    while (true) {
+        const int64_t ageMs = this->oldestAgeMs();
+        const std::string reader = this->regionReader();
+        const bool isReader = reader == this->settings.address;
+        // The reader needs others only when the store does not answer it; a copy that grows old although the reader
+        // is asked is looked for elsewhere.
+        if (ageMs >= (isReader ? relianceMs : askIntervalMs)) {
+            const std::string peer = isReader || ageMs >= relianceMs ? this->otherPeer() : reader;
+            if (!peer.empty())
+                co_await this->askPeer(peer);
+        }
+        co_await this->sleep(tickMs);
+    }
+}
+
 asio::awaitable<bool> ClusterFollower::askPeer(std::string address)
 {
     const auto call = std::make_shared<Call>();
@@ -459,8 +487,7 @@
         Json::Value& part = answer["operator"];
         part["revision"] = static_cast<Json::Int64>(this->operatorRevision);
         part["hash"] = static_cast<Json::UInt64>(this->operatorHash);
-        part["ageMs"] = static_cast<Json::Int64>(
-            this->isWatching ? 0 : millisecondsBetween(this->operatorReadAt, now));
+        part["ageMs"] = static_cast<Json::Int64>(this->operatorAgeMs());
         if (this->operatorHash != knownOperatorHash) {
             part["items"] = Json::Value(Json::arrayValue);
             for (const auto& [key, item] : this->operatorItems)
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -3,6 +3,7 @@
 #include <wagtailrack/base/Hash.h>
 
 #include <algorithm>
+#include <map>
 #include <vector>
 
 namespace wagtailrack::edge {
@@ -18,6 +19,9 @@
 // Failures cost a repetition: this much of the route's target latency at a failure rate of 1.
 constexpr double failureCost = 2.5;
 
+// Part of the target latency that a request may wait although its work alone is longer than the target.
+constexpr double leastWaitPart = 0.4;
+
 struct Candidate {
     BackendServerPointer server;
     uint64_t rank = 0;
@@ -57,57 +61,85 @@
     return ahead / slots * slotMs;
 }
 
-std::optional<PlacementChoice> chooseServer(
-    BackendFleet& fleet, const PlacementRequest& request, const WorkEstimate& work, SteadyTime now)
+double longestWaitMs(const RouteRule& rule, double workMs)
 {
-    const bool hasObject = !request.affinityKey.empty();
-    const uint64_t objectHash = hash64(request.affinityKey, hash64(request.rule.name));
-    std::vector<Candidate> nearby;
-    std::vector<Candidate> remote;
+    const auto target = static_cast<double>(rule.targetLatencyMs);
+    return std::max(target - workMs, leastWaitPart * target);
+}
+
+// Candidates by region. Servers that were out of reach a moment ago are left out where a region has others.
+static std::map<std::string, std::vector<Candidate>> findCandidates(
+    const BackendFleet& fleet, const PlacementRequest& request, uint64_t objectHash, SteadyTime now)
+{
+    std::map<std::string, std::vector<Candidate>> byRegion;
     for (const BackendServerPointer& server : fleet.servers(request.service.name)) {
         if (!fleet.mayUse(*server) || request.excluded.contains(server.get())
             || !isAllowed(request.rule, server->region))
             continue;
-        Candidate candidate { server, mix(objectHash, server->placementHash), {} };
-        (server->region == request.region ? nearby : remote).push_back(std::move(candidate));
+        // Only its own region sends to a server while it is cold, so that the shares add up to what it bears.
+        if (now < server->coldUntil && server->region != request.region)
+            continue;
+        byRegion[server->region].push_back({ server, mix(objectHash, server->placementHash), {} });
     }
-    const bool isRemote = nearby.empty();
-    std::vector<Candidate>& candidates = isRemote ? remote : nearby;
-    // Servers that were out of reach a moment ago are used only when there is no other.
     const auto isAvoided = [now](const Candidate& candidate) { return candidate.server->avoidUntil > now; };
-    if (!std::all_of(candidates.begin(), candidates.end(), isAvoided))
-        std::erase_if(candidates, isAvoided);
-    if (candidates.empty())
-        return std::nullopt;
+    for (auto& [region, candidates] : byRegion) {
+        if (!std::all_of(candidates.begin(), candidates.end(), isAvoided))
+            std::erase_if(candidates, isAvoided);
+    }
+    return byRegion;
+}
+
+// Fills in what each candidate of a region is expected to take and sorts them, best first.
+static void rankCandidates(std::vector<Candidate>& candidates, const PlacementRequest& request,
+    const WorkEstimate& work, uint64_t objectHash, SteadyTime now)
+{
     const auto preferred = std::max_element(candidates.begin(), candidates.end(),
         [](const Candidate& left, const Candidate& right) { return left.rank < right.rank; });
     for (Candidate& candidate : candidates) {
         const BackendServer& server = *candidate.server;
         const auto handled = server.warmObjects.find(objectHash);
-        const bool isWarm = hasObject
+        const bool isWarm = !request.affinityKey.empty()
             && (&candidate == &*preferred
                 || (handled != server.warmObjects.end() && now - handled->second < warmValidity));
         double workMs = isWarm ? work.warmMs : work.coldMs;
         if (now < server.coldUntil)
             workMs *= coldServerFactor;
         workMs *= std::max(server.slowness, 0.5);
-        double expected = estimateWaitMs(server, work, now) + workMs;
+        const double waitMs = estimateWaitMs(server, work, now);
+        double expected = waitMs + workMs;
         expected += server.failureRate * failureCost * static_cast<double>(request.rule.targetLatencyMs);
-        if (server.record.failureDomain != request.failureDomain)
+        if (server.region != request.region)
+            expected += request.otherRegionMs;
+        else if (server.record.failureDomain != request.failureDomain)
             expected += otherDomainMs;
-        candidate.choice = { candidate.server, expected, workMs, objectHash, isWarm };
+        candidate.choice = { candidate.server, expected, workMs, waitMs, objectHash, isWarm };
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
         return left.choice.expectedMs != right.choice.expectedMs ? left.choice.expectedMs < right.choice.expectedMs
                                                                  : left.rank > right.rank;
     });
-    for (Candidate& candidate : candidates) {
+}
+
+std::optional<PlacementChoice> chooseServer(BackendFleet& fleet, RegionShares& shares, const PlacementRequest& request,
+    const WorkEstimate& work, SteadyTime now)
+{
+    const uint64_t objectHash = hash64(request.affinityKey, hash64(request.rule.name));
+    auto byRegion = findCandidates(fleet, request, objectHash, now);
+    if (byRegion.empty())
+        return std::nullopt;
+    std::vector<RegionOffer> offers;
+    for (auto& [region, candidates] : byRegion) {
+        rankCandidates(candidates, request, work, objectHash, now);
+        double slots = 0;
+        for (const Candidate& candidate : candidates)
+            slots += static_cast<double>(candidate.server->record.slots);
+        offers.push_back({ region, candidates.front().choice.expectedMs, slots });
+    }
+    const std::string& region = shares.choose(offers, now);
+    for (Candidate& candidate : byRegion[region]) {
         BackendServer& server = *candidate.server;
-        if (server.coldUntil <= now)
-            return candidate.choice;
-        // Only the server's own region sends to it while it is cold, so that the shares add up to what it bears.
-        if (!isRemote
-            && fleet.takeColdToken(server, request.service.coldRequestsPerSecond, request.sendersInRegion))
+        if (server.coldUntil <= now
+            || fleet.takeColdToken(server, request.service.coldRequestsPerSecond, request.sendersInRegion))
             return candidate.choice;
     }
     return std::nullopt;
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -19,6 +19,8 @@
 constexpr int maximumConnectFailures = 3;
 // A server answers at its deadline itself; its answer is awaited this much longer.
 constexpr Milliseconds answerGrace(80);
+// Time that a round trip to another region adds, until it is measured.
+constexpr double otherRegionMs = 100;
 // Work assumed until it was measured, in relation to the route's target latency.
 constexpr double assumedColdWork = 1.2;
 constexpr double assumedWarmWork = 0.36;
@@ -111,6 +113,14 @@
     return this->services.settings.bounds.retrySlack * slackPart / instances;
 }
 
+RegionShares& RequestForwarder::regionSharesOf(const std::string& service)
+{
+    std::set<std::string> regions;
+    for (const auto& [domain, region] : this->services.settings.regionOfDomain)
+        regions.insert(region);
+    return this->regionShares.try_emplace(service, this->services.settings.region, regions.size()).first->second;
+}
+
 WorkEstimate& RequestForwarder::workOf(const RouteRule& rule)
 {
     const auto [found, isNew] = this->works.try_emplace(rule.name);
@@ -240,13 +250,16 @@
         const ServiceRule* service = flight.table->service(flight.service);
         const ServiceRule unknown { flight.service, 0, 0, 1 };
         const PlacementRequest request { flight.rule, service ? *service : unknown, flight.affinityKey,
-            this->services.settings.region, this->services.settings.failureDomain, this->instancesInRegion(),
-            flight.excluded };
+            this->services.settings.region, this->services.settings.failureDomain, otherRegionMs,
+            this->instancesInRegion(), flight.excluded };
         const SteadyTime now = this->services.clock.now();
         const std::optional<PlacementChoice> choice
-            = chooseServer(this->services.fleet, request, this->workOf(flight.rule), now);
+            = chooseServer(this->services.fleet, this->regionSharesOf(flight.service), request,
+                this->workOf(flight.rule), now);
         const double left = this->leftMs(flight);
-        const bool isTooLate = choice && choice->expectedMs - (1 - leastWorkPart) * choice->expectedWorkMs > left;
+        const bool isTooLate = choice
+            && (choice->expectedWaitMs + leastWorkPart * choice->expectedWorkMs > left
+                || choice->expectedWaitMs > longestWaitMs(flight.rule, choice->expectedWorkMs));
         if (!choice || isTooLate || left <= 0) {
             if (flight.fallback)
                 this->deliver(flight, std::move(*flight.fallback), "server-failure");
@@ -379,7 +392,7 @@
 void RequestForwarder::learn(
     const Flight& flight, BackendServer& server, const PlacementChoice& choice, double durationMs)
 {
-    const double waitMs = std::max(0.0, choice.expectedMs - choice.expectedWorkMs);
+    const double waitMs = choice.expectedWaitMs;
     WorkEstimate& work = this->workOf(flight.rule);
     const double base = choice.isWarm ? work.warmMs : work.coldMs;
     this->services.fleet.recordDuration(server, durationMs, waitMs + base);
