Place objects on one server of all regions; compare servers within their service

Changes: rendezvous over all regions, cost with what a run delays, load reports remembered for 2.5 s, failure rate and slowness against the best server, work as a quantile, a refusal by a server with room is repeated there.

--- a/src/edge/include/wagtailrack/edge/BackendFleet.h
+++ b/src/edge/include/wagtailrack/edge/BackendFleet.h
@@ -58,14 +58,14 @@
     SteadyTime removeAt;
 
     int64_t inFlight = 0;
-    // Requests of other instances on this server, from its own load reports; valid until `othersLoadUntil`.
+    // Requests of other instances on this server, from its own load reports, and the time of the last one.
     double othersLoad = 0;
-    SteadyTime othersLoadUntil;
+    SteadyTime othersLoadAt;
     // Part of recent attempts that failed, 0 to 1.
     double failureRate = 0;
     // Time of its answers in relation to those expected, 1 for a normal server.
     double slowness = 1;
-    // Time that a request occupies a slot.
+    // Work that the requests sent to it are expected to be.
     double averageWorkMs = 0;
     int unreachableInARow = 0;
     SteadyTime avoidUntil;
@@ -103,8 +103,8 @@
     bool mayUse(const BackendServer& server) const;
     size_t size() const noexcept { return this->byId.size(); }
 
-    // Bookkeeping around an attempt.
-    void beginAttempt(BackendServer& server);
+    // Bookkeeping around an attempt with this much expected work.
+    void beginAttempt(BackendServer& server, double workMs);
     void endAttempt(BackendServer& server, ServerOutcome outcome);
     // `durationMs` of an attempt that was expected to take `expectedMs`.
     void recordDuration(BackendServer& server, double durationMs, double expectedMs);
--- a/src/edge/include/wagtailrack/edge/Placement.h
+++ b/src/edge/include/wagtailrack/edge/Placement.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <wagtailrack/edge/BackendFleet.h>
-#include <wagtailrack/edge/RegionShares.h>
 #include <wagtailrack/edge/RoutingTable.h>
 
 #include <optional>
@@ -37,8 +36,8 @@
 
 struct PlacementChoice {
     BackendServerPointer server;
-    // Waiting and work that the choice expects.
-    double expectedMs = 0;
+    // Time to answer as the choice expects it, with what the run costs others.
+    double cost = 0;
     double expectedWorkMs = 0;
     double expectedWaitMs = 0;
     uint64_t objectHash = 0;
@@ -55,11 +54,10 @@
 // than they can be served, longer queues serve no more of them and all of them late.
 double longestWaitMs(const RouteRule& rule, double workMs);
 
-// Chooses the region by `shares` and in it the server with the smallest expected time to answer. Each object has its own order of servers (rendezvous
+// Chooses the server with the smallest expected time to answer. Each object has its own order of servers (rendezvous
 // hashing), the same on every instance; the first one of that order is taken to be warm. Nothing when no server may be
 // used. May take a token of a cold server.
 std::optional<PlacementChoice> chooseServer(
-    BackendFleet& fleet, RegionShares& shares, const PlacementRequest& request, const WorkEstimate& work,
-    SteadyTime now);
+    BackendFleet& fleet, const PlacementRequest& request, const WorkEstimate& work, SteadyTime now);
 
 }
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -71,6 +71,9 @@
         bool mayHaveRun = false;
         // Answer of a server to deliver when nothing better comes.
         std::optional<HttpResponse> fallback;
+        // The last choice of a server and how the attempt ended.
+        std::optional<PlacementChoice> lastChoice;
+        double lastDurationMs = 0;
         std::string lastServer;
         std::string lastEnd;
         // Set by what ends the request.
@@ -95,7 +98,6 @@
     void deliver(Flight& flight, HttpResponse response, const char* outcome);
     void finish(const Flight& flight);
     std::string chooseService(const RouteRule& rule);
-    RegionShares& regionSharesOf(const std::string& service);
     WorkEstimate& workOf(const RouteRule& rule);
     int instancesInRegion() const;
     double leftMs(const Flight& flight) const;
@@ -104,7 +106,6 @@
     ForwarderServices services;
     std::map<std::string, RetryAllowance> allowances;
     std::map<std::string, WorkEstimate> works;
-    std::map<std::string, RegionShares> regionShares;
     // Error of each share's count against its weight, by route and service.
     std::map<std::string, std::map<std::string, double>> splitDebts;
     int64_t running = 0;
--- a/src/edge/src/BackendFleet.cpp
+++ b/src/edge/src/BackendFleet.cpp
@@ -11,8 +11,8 @@
 
 // Weight of a new sample in the moving averages; about the last ten attempts count.
 constexpr double sampleWeight = 0.15;
-// Reports of load are out of date after about one run of work.
-constexpr Milliseconds loadReportValidity(1000);
+// Weight of a new report of load against the older ones at the same moment.
+constexpr double loadReportWeight = 0.6;
 // A server that refuses connections twice in a row is left alone; doubled for each further failure.
 constexpr int unreachableBeforeAvoided = 2;
 constexpr Milliseconds firstAvoidance(1000);
@@ -124,7 +124,13 @@
     return !server.isLeaving && !this->evacuated.contains(server.record.failureDomain);
 }
 
-void BackendFleet::beginAttempt(BackendServer& server) { ++server.inFlight; }
+void BackendFleet::beginAttempt(BackendServer& server, double workMs)
+{
+    ++server.inFlight;
+    if (server.averageWorkMs <= 0)
+        server.averageWorkMs = workMs;
+    server.averageWorkMs = moveTowards(server.averageWorkMs, workMs, sampleWeight);
+}
 
 void BackendFleet::endAttempt(BackendServer& server, ServerOutcome outcome)
 {
@@ -146,16 +152,14 @@
 {
     const double ratio = std::clamp(durationMs / std::max(expectedMs, 1.0), 0.2, maximumSlowness);
     server.slowness = moveTowards(server.slowness, ratio, sampleWeight);
-    if (server.averageWorkMs <= 0)
-        server.averageWorkMs = durationMs;
-    else
-        server.averageWorkMs = moveTowards(server.averageWorkMs, durationMs, sampleWeight);
 }
 
 void BackendFleet::recordLoad(BackendServer& server, int64_t running, int64_t waiting, int64_t slots)
 {
-    server.othersLoad = std::max<double>(0, static_cast<double>(running + waiting - server.inFlight));
-    server.othersLoadUntil = this->clock.now() + loadReportValidity;
+    // The report comes with an answer, so this instance's own request is counted neither here nor there.
+    const double others = std::max<double>(0, static_cast<double>(running + waiting - server.inFlight + 1));
+    server.othersLoad = moveTowards(server.othersLoad, others, loadReportWeight);
+    server.othersLoadAt = this->clock.now();
     if (slots > 0)
         server.record.slots = slots;
 }
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -3,7 +3,7 @@
 #include <wagtailrack/base/Hash.h>
 
 #include <algorithm>
-#include <map>
+#include <cmath>
 #include <vector>
 
 namespace wagtailrack::edge {
@@ -22,12 +22,23 @@
 // Part of the target latency that a request may wait although its work alone is longer than the target.
 constexpr double leastWaitPart = 0.4;
 
+// A run on a busy server delays those behind it; queues longer than this make no further difference.
+constexpr double maximumOccupied = 3;
+
+// Reports of load lose their weight in about this time.
+constexpr double loadMemoryMs = 2500;
+
 struct Candidate {
     BackendServerPointer server;
     uint64_t rank = 0;
     PlacementChoice choice;
 };
 
+struct Norm {
+    double slowness = 1;
+    double failureRate = 0;
+};
+
 uint64_t mix(uint64_t left, uint64_t right)
 {
     uint64_t value = left ^ (right + 0x9e3779b97f4a7c15ULL + (left << 6) + (left >> 2));
@@ -47,8 +58,9 @@
 
 double estimateLoad(const BackendServer& server, SteadyTime now)
 {
-    const double others = now < server.othersLoadUntil ? server.othersLoad : server.othersLoad / 4;
-    return static_cast<double>(server.inFlight) + others;
+    // An old report says little about this moment, but more than nothing.
+    const double ageMs = std::chrono::duration<double, std::milli>(now - server.othersLoadAt).count();
+    return static_cast<double>(server.inFlight) + server.othersLoad * std::exp(-ageMs / loadMemoryMs);
 }
 
 double estimateWaitMs(const BackendServer& server, const WorkEstimate& work, SteadyTime now)
@@ -67,79 +79,81 @@
     return std::max(target - workMs, leastWaitPart * target);
 }
 
-// Candidates by region. Servers that were out of reach a moment ago are left out where a region has others.
-static std::map<std::string, std::vector<Candidate>> findCandidates(
+// Servers that may run the request. Those that were out of reach a moment ago are left out where there are others.
+static std::vector<Candidate> findCandidates(
     const BackendFleet& fleet, const PlacementRequest& request, uint64_t objectHash, SteadyTime now)
 {
-    std::map<std::string, std::vector<Candidate>> byRegion;
+    std::vector<Candidate> candidates;
     for (const BackendServerPointer& server : fleet.servers(request.service.name)) {
         if (!fleet.mayUse(*server) || request.excluded.contains(server.get())
             || !isAllowed(request.rule, server->region))
             continue;
-        // Only its own region sends to a server while it is cold, so that the shares add up to what it bears.
-        if (now < server->coldUntil && server->region != request.region)
-            continue;
-        byRegion[server->region].push_back({ server, mix(objectHash, server->placementHash), {} });
+        candidates.push_back({ server, mix(objectHash, server->placementHash), {} });
     }
     const auto isAvoided = [now](const Candidate& candidate) { return candidate.server->avoidUntil > now; };
-    for (auto& [region, candidates] : byRegion) {
-        if (!std::all_of(candidates.begin(), candidates.end(), isAvoided))
-            std::erase_if(candidates, isAvoided);
-    }
-    return byRegion;
+    if (!std::all_of(candidates.begin(), candidates.end(), isAvoided))
+        std::erase_if(candidates, isAvoided);
+    return candidates;
 }
 
-// Fills in what each candidate of a region is expected to take and sorts them, best first.
-static void rankCandidates(std::vector<Candidate>& candidates, const PlacementRequest& request,
-    const WorkEstimate& work, uint64_t objectHash, SteadyTime now)
+// What the best of the servers do: what all of them suffer speaks against none.
+static Norm findNorm(const std::vector<Candidate>& candidates)
 {
-    const auto preferred = std::max_element(candidates.begin(), candidates.end(),
-        [](const Candidate& left, const Candidate& right) { return left.rank < right.rank; });
-    for (Candidate& candidate : candidates) {
-        const BackendServer& server = *candidate.server;
-        const auto handled = server.warmObjects.find(objectHash);
-        const bool isWarm = !request.affinityKey.empty()
-            && (&candidate == &*preferred
-                || (handled != server.warmObjects.end() && now - handled->second < warmValidity));
-        double workMs = isWarm ? work.warmMs : work.coldMs;
-        if (now < server.coldUntil)
-            workMs *= coldServerFactor;
-        workMs *= std::max(server.slowness, 0.5);
-        const double waitMs = estimateWaitMs(server, work, now);
-        double expected = waitMs + workMs;
-        expected += server.failureRate * failureCost * static_cast<double>(request.rule.targetLatencyMs);
-        if (server.region != request.region)
-            expected += request.otherRegionMs;
-        else if (server.record.failureDomain != request.failureDomain)
-            expected += otherDomainMs;
-        candidate.choice = { candidate.server, expected, workMs, waitMs, objectHash, isWarm };
+    Norm norm { candidates.front().server->slowness, candidates.front().server->failureRate };
+    for (const Candidate& candidate : candidates) {
+        norm.slowness = std::min(norm.slowness, candidate.server->slowness);
+        norm.failureRate = std::min(norm.failureRate, candidate.server->failureRate);
     }
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
-        return left.choice.expectedMs != right.choice.expectedMs ? left.choice.expectedMs < right.choice.expectedMs
-                                                                 : left.rank > right.rank;
-    });
+    norm.slowness = std::max(norm.slowness, 1.0);
+    return norm;
 }
 
-std::optional<PlacementChoice> chooseServer(BackendFleet& fleet, RegionShares& shares, const PlacementRequest& request,
-    const WorkEstimate& work, SteadyTime now)
+// What a run on the server is expected to take and to cost others.
+static PlacementChoice estimate(const Candidate& candidate, bool isPreferred, const Norm& norm,
+    const PlacementRequest& request, const WorkEstimate& work, uint64_t objectHash, SteadyTime now)
+{
+    const BackendServer& server = *candidate.server;
+    const auto handled = server.warmObjects.find(objectHash);
+    const bool isWarm = !request.affinityKey.empty()
+        && (isPreferred || (handled != server.warmObjects.end() && now - handled->second < warmValidity));
+    double workMs = isWarm ? work.warmMs : work.coldMs;
+    if (now < server.coldUntil)
+        workMs *= coldServerFactor;
+    workMs *= std::max(server.slowness / norm.slowness, 1.0);
+    const double waitMs = estimateWaitMs(server, work, now);
+    const double occupied = std::min(
+        estimateLoad(server, now) / static_cast<double>(std::max<int64_t>(server.record.slots, 1)), maximumOccupied);
+    double cost = waitMs + workMs * (1 + occupied);
+    cost += (server.failureRate - norm.failureRate) * failureCost * static_cast<double>(request.rule.targetLatencyMs);
+    if (server.region != request.region)
+        cost += request.otherRegionMs;
+    else if (server.record.failureDomain != request.failureDomain)
+        cost += otherDomainMs;
+    return { candidate.server, cost, workMs, waitMs, objectHash, isWarm };
+}
+
+std::optional<PlacementChoice> chooseServer(
+    BackendFleet& fleet, const PlacementRequest& request, const WorkEstimate& work, SteadyTime now)
 {
     const uint64_t objectHash = hash64(request.affinityKey, hash64(request.rule.name));
-    auto byRegion = findCandidates(fleet, request, objectHash, now);
-    if (byRegion.empty())
+    std::vector<Candidate> candidates = findCandidates(fleet, request, objectHash, now);
+    if (candidates.empty())
         return std::nullopt;
-    std::vector<RegionOffer> offers;
-    for (auto& [region, candidates] : byRegion) {
-        rankCandidates(candidates, request, work, objectHash, now);
-        double slots = 0;
-        for (const Candidate& candidate : candidates)
-            slots += static_cast<double>(candidate.server->record.slots);
-        offers.push_back({ region, candidates.front().choice.expectedMs, slots });
-    }
-    const std::string& region = shares.choose(offers, now);
-    for (Candidate& candidate : byRegion[region]) {
+    const auto preferred = std::max_element(candidates.begin(), candidates.end(),
+        [](const Candidate& left, const Candidate& right) { return left.rank < right.rank; });
+    const Norm norm = findNorm(candidates);
+    for (Candidate& candidate : candidates)
+        candidate.choice = estimate(candidate, &candidate == &*preferred, norm, request, work, objectHash, now);
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
+        return left.choice.cost != right.choice.cost ? left.choice.cost < right.choice.cost : left.rank > right.rank;
+    });
+    for (Candidate& candidate : candidates) {
         BackendServer& server = *candidate.server;
-        if (server.coldUntil <= now
-            || fleet.takeColdToken(server, request.service.coldRequestsPerSecond, request.sendersInRegion))
+        if (server.coldUntil <= now)
+            return candidate.choice;
+        // Only its own region sends to a server while it is cold, so that the shares add up to what it bears.
+        if (server.region == request.region
+            && fleet.takeColdToken(server, request.service.coldRequestsPerSecond, request.sendersInRegion))
             return candidate.choice;
     }
     return std::nullopt;
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -24,8 +24,10 @@
 // Work assumed until it was measured, in relation to the route's target latency.
 constexpr double assumedColdWork = 1.2;
 constexpr double assumedWarmWork = 0.36;
-// Weight of a new sample of a route's work.
-constexpr double workWeight = 0.1;
+// Quantiles of a route's durations that are taken for its work, and the step of their estimates.
+constexpr double warmQuantile = 0.4;
+constexpr double coldQuantile = 0.5;
+constexpr double workStep = 0.08;
 // A send with less time than this part of the expected work cannot end well.
 constexpr double leastWorkPart = 0.7;
 // Part of the retry slack that the instances divide; the rest covers instances that are not seen yet.
@@ -113,14 +115,6 @@
     return this->services.settings.bounds.retrySlack * slackPart / instances;
 }
 
-RegionShares& RequestForwarder::regionSharesOf(const std::string& service)
-{
-    std::set<std::string> regions;
-    for (const auto& [domain, region] : this->services.settings.regionOfDomain)
-        regions.insert(region);
-    return this->regionShares.try_emplace(service, this->services.settings.region, regions.size()).first->second;
-}
-
 WorkEstimate& RequestForwarder::workOf(const RouteRule& rule)
 {
     const auto [found, isNew] = this->works.try_emplace(rule.name);
@@ -254,8 +248,8 @@
             this->instancesInRegion(), flight.excluded };
         const SteadyTime now = this->services.clock.now();
         const std::optional<PlacementChoice> choice
-            = chooseServer(this->services.fleet, this->regionSharesOf(flight.service), request,
-                this->workOf(flight.rule), now);
+            = chooseServer(this->services.fleet, request, this->workOf(flight.rule), now);
+        flight.lastChoice = choice;
         const double left = this->leftMs(flight);
         const bool isTooLate = choice
             && (choice->expectedWaitMs + leastWorkPart * choice->expectedWorkMs > left
@@ -316,12 +310,13 @@
     const Endpoint address = server->record.address;
     flight.lastServer = server->record.id;
     flight.excluded.insert(server.get());
-    this->services.fleet.beginAttempt(*server);
+    this->services.fleet.beginAttempt(*server, choice.expectedWorkMs);
     this->services.fleet.recordWarm(*server, choice.objectHash);
     const CallEnd end = co_await this->services.connections.run(call, address);
     flight.exchange->onCallerLeft = nullptr;
     flight.lastEnd = toString(end);
     const double durationMs = millisecondsSince(sentAt, this->services.clock.now());
+    flight.lastDurationMs = durationMs;
     switch (end) {
     case CallEnd::Answered:
         ++flight.sends;
@@ -345,7 +340,7 @@
     case CallEnd::TimedOut:
         ++flight.sends;
         this->services.fleet.endAttempt(*server, ServerOutcome::Broken);
-        this->services.fleet.recordDuration(*server, durationMs, choice.expectedMs);
+        this->services.fleet.recordDuration(*server, durationMs, choice.expectedWaitMs + choice.expectedWorkMs);
         this->fail(flight, http::status::gateway_timeout, "deadline-passed");
         co_return Next::Finished;
     case CallEnd::Broken:
@@ -399,9 +394,10 @@
     // Only runs without waiting tell the work.
     if (waitMs > 0 || this->services.clock.now() < server.coldUntil)
         return;
+    // A low quantile: some runs wait unseen behind requests of other instances, and some objects are not warm.
     double& estimate = choice.isWarm ? work.warmMs : work.coldMs;
-    const double sample = std::min(durationMs, 3 * estimate);
-    estimate += workWeight * (sample - estimate);
+    const double quantile = choice.isWarm ? warmQuantile : coldQuantile;
+    estimate *= durationMs > estimate ? 1 + workStep * quantile : 1 - workStep * (1 - quantile);
 }
 
 RequestForwarder::Next RequestForwarder::judgeAnswer(
@@ -416,6 +412,9 @@
         this->services.fleet.endAttempt(server, status == 421 ? ServerOutcome::Answered : ServerOutcome::Shed);
         if (status == 421)
             this->services.fleet.markLeaving(server, "address-reused");
+        // A server that refuses although it has room is as good as another, and it knows the object.
+        else if (estimateLoad(server, this->services.clock.now()) < static_cast<double>(server.record.slots))
+            flight.excluded.erase(&server);
         return this->giveUpOrRetry(flight);
     }
     const bool isSuccess = status >= 200 && status < 300;
@@ -459,6 +458,10 @@
         { { "id", flight.id }, { "route", flight.rule.name }, { "version", flight.table ? flight.table->version() : 0 },
             { "service", flight.service }, { "server", flight.lastServer }, { "sends", flight.sends },
             { "connect_failures", flight.connectFailures }, { "last_end", flight.lastEnd },
+            { "warm", flight.lastChoice && flight.lastChoice->isWarm ? 1 : 0 },
+            { "wait_ms", flight.lastChoice ? static_cast<int64_t>(flight.lastChoice->expectedWaitMs) : 0 },
+            { "work_ms", flight.lastChoice ? static_cast<int64_t>(flight.lastChoice->expectedWorkMs) : 0 },
+            { "took_ms", static_cast<int64_t>(flight.lastDurationMs) },
             { "servers_age_ms", this->services.cluster.serversAgeMs() },
             { "status", static_cast<uint64_t>(flight.exchange->response.result_int()) },
             { "ms", static_cast<int64_t>(seconds * 1000) }, { "left_ms", static_cast<int64_t>(this->leftMs(flight)) },
