Copies of objects in a region of its own when the way elsewhere has cost as much

Ruled out: work (warm runs take 190 ms) and queues (none). LocalCopies makes the region's own server know an object once late and large answers from elsewhere have cost as much as one slow run. Round trips are measured from connects; the way is taken off learned work.

--- a/src/edge/include/wagtailrack/edge/Placement.h
+++ b/src/edge/include/wagtailrack/edge/Placement.h
@@ -3,6 +3,7 @@
 #include <wagtailrack/edge/BackendFleet.h>
 #include <wagtailrack/edge/RoutingTable.h>
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -26,14 +27,19 @@
     // Region of this instance, the one that callers reach it from.
     std::string region;
     std::string failureDomain;
-    // Time that another region adds to an answer.
-    double otherRegionMs = 0;
+    // Time that another region adds to an answer, by region.
+    const std::map<std::string, double>& regionDelaysMs;
+    // Whether the preferred server of this instance's region is taken to know the object.
+    bool hasLocalCopy = false;
     // Instances that may send to servers of this region.
     int sendersInRegion = 1;
     // Servers that must not be chosen again.
     const std::set<const BackendServer*>& excluded;
 };
 
+// Identifies the object that a request concerns.
+uint64_t objectHashOf(const RouteRule& rule, const std::string& affinityKey);
+
 struct PlacementChoice {
     BackendServerPointer server;
     // Time to answer as the choice expects it, with what the run costs others.
@@ -55,7 +61,8 @@
 double longestWaitMs(const RouteRule& rule, double workMs);
 
 // Chooses the server with the smallest expected time to answer. Each object has its own order of servers (rendezvous
-// hashing), the same on every instance; the first one of that order is taken to be warm. Nothing when no server may be
+// hashing), the same on every instance; the first one of that order is taken to be warm, with a local copy also the
+// first one of this region. Nothing when no server may be
 // used. May take a token of a cold server.
 std::optional<PlacementChoice> chooseServer(
     BackendFleet& fleet, const PlacementRequest& request, const WorkEstimate& work, SteadyTime now);
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -6,6 +6,7 @@
 #include <wagtailrack/edge/DecisionLog.h>
 #include <wagtailrack/edge/EdgeSettings.h>
 #include <wagtailrack/edge/InstanceView.h>
+#include <wagtailrack/edge/LocalCopies.h>
 #include <wagtailrack/edge/Placement.h>
 #include <wagtailrack/edge/RetryAllowance.h>
 #include <wagtailrack/edge/ServerConnections.h>
@@ -91,7 +92,10 @@
     Next giveUpOrRetry(Flight& flight);
     bool begin(Flight& flight);
     std::shared_ptr<Call> makeCall(const Flight& flight, const BackendServer& server) const;
-    void learn(const Flight& flight, BackendServer& server, const PlacementChoice& choice, double durationMs);
+    // `networkMs` of the time that the attempt took beside `durationMs` were spent on the way.
+    void learn(const Flight& flight, BackendServer& server, const PlacementChoice& choice, double durationMs,
+        double networkMs);
+    void learnRoundTrip(const BackendServer& server, const Call& call);
     void readLoad(BackendServer& server, const HttpResponse& response);
     void reject(Flight& flight, const char* reason, double retryAfterSeconds);
     void fail(Flight& flight, http::status status, const char* reason);
@@ -106,6 +110,9 @@
     ForwarderServices services;
     std::map<std::string, RetryAllowance> allowances;
     std::map<std::string, WorkEstimate> works;
+    LocalCopies localCopies;
+    // Round trips to other regions, from the time that connections to their servers take.
+    std::map<std::string, double> roundTripsMs;
     // Error of each share's count against its weight, by route and service.
     std::map<std::string, std::map<std::string, double>> splitDebts;
     int64_t running = 0;
--- a/src/edge/include/wagtailrack/edge/ServerConnections.h
+++ b/src/edge/include/wagtailrack/edge/ServerConnections.h
@@ -80,8 +80,8 @@
     HttpResponse response;
     // Whether any byte of the request may have left.
     bool wasSent = false;
-    // Bytes of an answer were read.
-    bool hasAnswerBytes = false;
+    // Time that a new connection took; zero when a kept one was used.
+    double connectMs = 0;
 
     // Ends the call soon with Cancelled.
     void cancel();
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -34,6 +34,9 @@
     PlacementChoice choice;
 };
 
+// Delay of a region from which nothing was heard yet.
+constexpr double assumedRegionDelayMs = 60;
+
 struct Norm {
     double slowness = 1;
     double failureRate = 0;
@@ -56,6 +59,11 @@
 
 }
 
+uint64_t objectHashOf(const RouteRule& rule, const std::string& affinityKey)
+{
+    return hash64(affinityKey, hash64(rule.name));
+}
+
 double estimateLoad(const BackendServer& server, SteadyTime now)
 {
     // An old report says little about this moment, but more than nothing.
@@ -108,6 +116,12 @@
     return norm;
 }
 
+static double delayTo(const PlacementRequest& request, const std::string& region)
+{
+    const auto found = request.regionDelaysMs.find(region);
+    return found == request.regionDelaysMs.end() ? assumedRegionDelayMs : found->second;
+}
+
 // What a run on the server is expected to take and to cost others.
 static PlacementChoice estimate(const Candidate& candidate, bool isPreferred, const Norm& norm,
     const PlacementRequest& request, const WorkEstimate& work, uint64_t objectHash, SteadyTime now)
@@ -126,7 +140,7 @@
     double cost = waitMs + workMs * (1 + occupied);
     cost += (server.failureRate - norm.failureRate) * failureCost * static_cast<double>(request.rule.targetLatencyMs);
     if (server.region != request.region)
-        cost += request.otherRegionMs;
+        cost += delayTo(request, server.region);
     else if (server.record.failureDomain != request.failureDomain)
         cost += otherDomainMs;
     return { candidate.server, cost, workMs, waitMs, objectHash, isWarm };
@@ -135,15 +149,25 @@
 std::optional<PlacementChoice> chooseServer(
     BackendFleet& fleet, const PlacementRequest& request, const WorkEstimate& work, SteadyTime now)
 {
-    const uint64_t objectHash = hash64(request.affinityKey, hash64(request.rule.name));
+    const uint64_t objectHash = objectHashOf(request.rule, request.affinityKey);
     std::vector<Candidate> candidates = findCandidates(fleet, request, objectHash, now);
     if (candidates.empty())
         return std::nullopt;
-    const auto preferred = std::max_element(candidates.begin(), candidates.end(),
-        [](const Candidate& left, const Candidate& right) { return left.rank < right.rank; });
+    const Candidate* preferred = nullptr;
+    const Candidate* preferredNearby = nullptr;
+    for (const Candidate& candidate : candidates) {
+        if (!preferred || candidate.rank > preferred->rank)
+            preferred = &candidate;
+        if (candidate.server->region == request.region
+            && (!preferredNearby || candidate.rank > preferredNearby->rank))
+            preferredNearby = &candidate;
+    }
     const Norm norm = findNorm(candidates);
-    for (Candidate& candidate : candidates)
-        candidate.choice = estimate(candidate, &candidate == &*preferred, norm, request, work, objectHash, now);
+    for (Candidate& candidate : candidates) {
+        const bool isPreferred
+            = &candidate == preferred || (request.hasLocalCopy && &candidate == preferredNearby);
+        candidate.choice = estimate(candidate, isPreferred, norm, request, work, objectHash, now);
+    }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
         return left.choice.cost != right.choice.cost ? left.choice.cost < right.choice.cost : left.rank > right.rank;
     });
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -19,8 +19,8 @@
 constexpr int maximumConnectFailures = 3;
 // A server answers at its deadline itself; its answer is awaited this much longer.
 constexpr Milliseconds answerGrace(80);
-// Time that a round trip to another region adds, until it is measured.
-constexpr double otherRegionMs = 100;
+// Weight of a new sample of a round trip.
+constexpr double roundTripWeight = 0.2;
 // Work assumed until it was measured, in relation to the route's target latency.
 constexpr double assumedColdWork = 1.2;
 constexpr double assumedWarmWork = 0.36;
@@ -244,8 +244,9 @@
         const ServiceRule* service = flight.table->service(flight.service);
         const ServiceRule unknown { flight.service, 0, 0, 1 };
         const PlacementRequest request { flight.rule, service ? *service : unknown, flight.affinityKey,
-            this->services.settings.region, this->services.settings.failureDomain, otherRegionMs,
-            this->instancesInRegion(), flight.excluded };
+            this->services.settings.region, this->services.settings.failureDomain, this->roundTripsMs,
+            this->localCopies.isWanted(objectHashOf(flight.rule, flight.affinityKey)), this->instancesInRegion(),
+            flight.excluded };
         const SteadyTime now = this->services.clock.now();
         const std::optional<PlacementChoice> choice
             = chooseServer(this->services.fleet, request, this->workOf(flight.rule), now);
@@ -317,6 +318,7 @@
     flight.lastEnd = toString(end);
     const double durationMs = millisecondsSince(sentAt, this->services.clock.now());
     flight.lastDurationMs = durationMs;
+    this->learnRoundTrip(*server, *call);
     switch (end) {
     case CallEnd::Answered:
         ++flight.sends;
@@ -369,6 +371,17 @@
     return Next::Finished;
 }
 
+void RequestForwarder::learnRoundTrip(const BackendServer& server, const Call& call)
+{
+    if (call.connectMs <= 0 || server.region == this->services.settings.region)
+        return;
+    const auto [found, isNew] = this->roundTripsMs.try_emplace(server.region, call.connectMs);
+    // A packet that is sent once more says nothing of the distance.
+    const double sample = std::min(call.connectMs, 2 * found->second);
+    if (!isNew)
+        found->second += roundTripWeight * (sample - found->second);
+}
+
 void RequestForwarder::readLoad(BackendServer& server, const HttpResponse& response)
 {
     const std::string text = headerText(response.base(), this->services.headers.serverLoad);
@@ -385,12 +398,21 @@
 }
 
 void RequestForwarder::learn(
-    const Flight& flight, BackendServer& server, const PlacementChoice& choice, double durationMs)
+    const Flight& flight, BackendServer& server, const PlacementChoice& choice, double durationMs,
+    double networkMs)
 {
     const double waitMs = choice.expectedWaitMs;
     WorkEstimate& work = this->workOf(flight.rule);
     const double base = choice.isWarm ? work.warmMs : work.coldMs;
     this->services.fleet.recordDuration(server, durationMs, waitMs + base);
+    if (server.region != this->services.settings.region && choice.isWarm) {
+        const double elapsedMs = millisecondsSince(flight.exchange->arrivedAt, this->services.clock.now());
+        const auto targetMs = static_cast<double>(flight.rule.targetLatencyMs);
+        const bool isDistanceToBlame = elapsedMs > targetMs && elapsedMs - networkMs <= targetMs;
+        const auto bytes = static_cast<double>(
+            flight.exchange->request.body().size() + flight.exchange->response.body().size());
+        this->localCopies.recordRemoteAnswer(choice.objectHash, bytes, isDistanceToBlame, this->instancesInRegion());
+    }
     // Only runs without waiting tell the work.
     if (waitMs > 0 || this->services.clock.now() < server.coldUntil)
         return;
@@ -443,8 +465,10 @@
         return Next::Finished;
     }
     this->services.fleet.endAttempt(server, ServerOutcome::Answered);
-    this->learn(flight, server, choice, durationMs);
     this->deliver(flight, std::move(response), "done");
+    const auto roundTrip = this->roundTripsMs.find(server.region);
+    const double networkMs = call.connectMs + (roundTrip == this->roundTripsMs.end() ? 0 : roundTrip->second);
+    this->learn(flight, server, choice, std::max(1.0, durationMs - networkMs), networkMs);
     return Next::Finished;
 }
 
--- a/src/edge/src/ServerConnections.cpp
+++ b/src/edge/src/ServerConnections.cpp
@@ -140,6 +140,7 @@
 {
     call->connection = std::make_shared<ClientConnection>(this->context);
     const ClientConnectionPointer connection = call->connection;
+    const SteadyTime startedAt = std::chrono::steady_clock::now();
     connection->arm(std::min(call->connectDeadline, call->deadline));
     error_code failure;
     const Tcp::endpoint endpoint = toTcp(server);
@@ -152,6 +153,8 @@
         co_return CallEnd::ConnectFailed;
     }
     ++this->openedCount;
+    call->connectMs
+        = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - startedAt).count();
     detectSilence(connection->socket, this->silenceMs);
     co_return CallEnd::Answered;
 }
@@ -173,7 +176,6 @@
         error_code failure;
         co_await http::async_read(
             connection->socket, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
-        call->hasAnswerBytes = call->hasAnswerBytes || parser.got_some();
         if (call->isCancelled) {
             end = CallEnd::Cancelled;
             break;
