Peers tell changes only; readers are instances with a fast link; few senders to a cold server

Ruled out: the store (it answered all the while). Peers now get what changed since the revision that they have; the reader is an instance with the fastest link; a cold server has as many senders as its slack has room for; a JSON reader is made once a thread.

--- a/src/edge/include/wagtailrack/edge/ClusterFollower.h
+++ b/src/edge/include/wagtailrack/edge/ClusterFollower.h
@@ -39,7 +39,7 @@
     bool isReady() const noexcept { return this->activeTable != nullptr && this->hasServers; }
 
     // What peers are told, as JSON; parts that the peer already has are left out.
-    std::string describeFor(uint64_t knownOperatorHash, uint64_t knownServersHash) const;
+    std::string describeFor(uint64_t knownOperatorHash, int64_t knownServersRevision) const;
 
 private:
     asio::awaitable<void> followOperator();
@@ -53,7 +53,16 @@
     asio::awaitable<void> sleep(int64_t milliseconds);
 
     void applyOperator(std::map<std::string, StoreItem> items, int64_t revision, SteadyTime readAt, const char* source);
-    void applyServers(std::vector<StoreItem> items, int64_t revision, SteadyTime readAt, const char* source);
+    // The changes of a reading against the copy; `items` are all records, or those that changed with `removed`.
+    struct ServerChanges {
+        std::vector<StoreItem> items;
+        std::vector<std::string> removed;
+        bool isWhole = true;
+        int64_t revision = 0;
+        SteadyTime readAt;
+    };
+    void applyServers(ServerChanges changes, const char* source);
+    bool takeServer(StoreItem item, int64_t revision);
     void noteStore(bool isReachable, const char* call, const std::string& detail);
     int64_t operatorAgeMs() const;
     int64_t oldestAgeMs() const;
@@ -80,8 +89,18 @@
     bool isWatching = false;
     int64_t refusedConfigurationRevision = -1;
 
-    std::vector<StoreItem> serverItems;
-    uint64_t serversHash = 0;
+    // A record, and the reading in which something other than its sequence changed.
+    struct ServerItem {
+        StoreItem item;
+        ServerRecord record;
+        uint64_t hash = 0;
+        int64_t changedRevision = 0;
+    };
+    std::map<std::string, ServerItem> serverItems;
+    // Records that went, with the reading in which they were missing first.
+    std::map<std::string, int64_t> removedServers;
+    // Peers whose copy is older than this get all records.
+    int64_t changesKnownFrom = 0;
     int64_t serversRevision = -1;
     SteadyTime serversReadAt;
     bool hasServers = false;
--- a/src/edge/include/wagtailrack/edge/DecisionLog.h
+++ b/src/edge/include/wagtailrack/edge/DecisionLog.h
@@ -36,7 +36,7 @@
     // Lines for requests in one second.
     static constexpr int64_t requestLinesPerSecond = 100;
     // Bytes that wait for a slow reader.
-    static constexpr size_t maximumPendingBytes = 256 * 1024;
+    static constexpr size_t maximumPendingBytes = 262'144;
 
     DecisionLog(const Clock& clock, std::string instance, int descriptor);
 
--- a/src/edge/include/wagtailrack/edge/EdgeSettings.h
+++ b/src/edge/include/wagtailrack/edge/EdgeSettings.h
@@ -41,6 +41,8 @@
     Endpoint stateAddress;
     Endpoint storeAddress;
     std::map<std::string, std::string> regionOfDomain;
+    // Bandwidth of this instance's link in Mbit/s.
+    double linkMegabits = 0;
     FleetBounds bounds;
 
     friend bool operator==(const EdgeSettings&, const EdgeSettings&) = default;
--- a/src/edge/include/wagtailrack/edge/InstanceView.h
+++ b/src/edge/include/wagtailrack/edge/InstanceView.h
@@ -17,6 +17,8 @@
     uint32_t address = 0;
     // Index into the sorted names of the failure domains.
     uint8_t domain = 0;
+    // Bandwidth of the instance's link in units of 10 Mbit/s, 255 at most.
+    uint8_t capacity = 0;
     bool isReady = false;
     bool isLeaving = false;
     // Start of the process in Unix milliseconds.
--- a/src/edge/include/wagtailrack/edge/Placement.h
+++ b/src/edge/include/wagtailrack/edge/Placement.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace wagtailrack::edge {
 
@@ -19,6 +20,18 @@
     friend bool operator==(const WorkEstimate&, const WorkEstimate&) = default;
 };
 
+// Which instances of a region send to a server while it is cold: a few for each server, the same as every instance sees
+// it, since each one may have a request in hand at the same moment.
+struct ColdSenders {
+    // Hashes of the region's instances, this one included, and of this one.
+    std::vector<uint64_t> instances;
+    uint64_t own = 0;
+    size_t most = 1;
+
+    bool include(uint64_t serverHash) const;
+    int count() const;
+};
+
 // What the choice of a server for one request depends on, beside the fleet.
 struct PlacementRequest {
     const RouteRule& rule;
@@ -32,8 +45,8 @@
     const std::map<std::string, double>& regionDelaysMs;
     // Whether the preferred server of this instance's region is taken to know the object.
     bool hasLocalCopy = false;
-    // Instances that may send to servers of this region.
-    int sendersInRegion = 1;
+    // Instances that send to cold servers of this region.
+    const ColdSenders& coldSenders;
     // Servers that must not be chosen again.
     const std::set<const BackendServer*>& excluded;
 };
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -104,6 +104,7 @@
     void finish(const Flight& flight);
     std::string chooseService(const RouteRule& rule);
     WorkEstimate& workOf(const RouteRule& rule);
+    void countInstances();
     int instancesInRegion() const;
     double leftMs(const Flight& flight) const;
     double slackShare() const;
@@ -112,6 +113,9 @@
     std::map<std::string, RetryAllowance> allowances;
     std::map<std::string, WorkEstimate> works;
     LocalCopies localCopies;
+    ColdSenders coldSenders;
+    size_t instanceCount = 1;
+    SteadyTime countAgainAt;
     // Round trips to other regions, from the time that connections to their servers take.
     std::map<std::string, double> roundTripsMs;
     // Error of each share's count against its weight, by route and service.
--- a/src/edge/include/wagtailrack/edge/RoutingTable.h
+++ b/src/edge/include/wagtailrack/edge/RoutingTable.h
@@ -57,8 +57,8 @@
 
 // What callers may send and how long they may take.
 struct CallerLimits {
-    int64_t maxHeaderBytes = 16 * 1024;
-    int64_t maxBodyBytes = 1024 * 1024;
+    int64_t maxHeaderBytes = 16'384;
+    int64_t maxBodyBytes = 1'048'576;
     int64_t headerTimeoutMs = 3000;
     int64_t idleTimeoutMs = 15000;
 
--- a/src/edge/src/CallerSession.cpp
+++ b/src/edge/src/CallerSession.cpp
@@ -44,7 +44,7 @@
         this->context, [self] { return self->readRequests(); }, asio::detached);
     asio::co_spawn(
         this->context, [self] { return self->writeAnswers(); },
-        [self](std::exception_ptr) { self->listener.sessions.erase(self.get()); });
+        [self](const std::exception_ptr&) { self->listener.sessions.erase(self.get()); });
 }
 
 void CallerSession::wake() { this->changed.cancel(); }
--- a/src/edge/src/ClusterFollower.cpp
+++ b/src/edge/src/ClusterFollower.cpp
@@ -39,6 +39,8 @@
 constexpr int64_t listMs = 4000;
 constexpr int earlyLists = 6;
 constexpr int64_t peerTimeoutMs = 600;
+// Records that went, remembered for peers; bounds the memory.
+constexpr size_t maximumRemovedServers = 4000;
 
 int64_t millisecondsBetween(SteadyTime from, SteadyTime to)
 {
@@ -137,12 +139,13 @@
     std::vector<std::string> regions;
     for (const auto& [domain, region] : this->settings.regionOfDomain)
         regions.push_back(region);
-    uint64_t best = 0;
+    // Instances with a fast link first: the reader sends every change to all others of its region.
+    std::pair<int, uint64_t> best { -1, 0 };
     uint32_t reader = this->instances.own().address;
     for (const InstanceBeat& beat : this->instances.alive()) {
         if (beat.isLeaving || beat.domain >= regions.size() || regions[beat.domain] != regions[ownDomain])
             continue;
-        const uint64_t rank = hash64(dotted(beat.address));
+        const std::pair<int, uint64_t> rank { beat.capacity, hash64(dotted(beat.address)) };
         if (rank > best) {
             best = rank;
             reader = beat.address;
@@ -243,7 +246,7 @@
         co_return false;
     }
     this->noteStore(true, "list-servers", "");
-    this->applyServers(std::move(reading.value().items), reading.value().revision, askedAt, "store");
+    this->applyServers({ std::move(reading.value().items), {}, true, reading.value().revision, askedAt }, "store");
     co_return true;
 }
 
@@ -286,8 +289,10 @@
 {
     const auto call = std::make_shared<Call>();
     call->request = HttpRequest(http::verb::get,
-        "/state?operator=" + std::to_string(this->operatorHash) + "&servers=" + std::to_string(this->serversHash), 11);
+        "/state?operator=" + std::to_string(this->operatorHash) + "&servers=" + std::to_string(this->serversRevision),
+        11);
     call->request.set(http::field::host, address);
+    const int64_t askedRevision = this->serversRevision;
     const SteadyTime askedAt = this->clock.now();
     call->deadline = askedAt + Milliseconds(peerTimeoutMs);
     call->connectDeadline = call->deadline;
@@ -321,19 +326,24 @@
         }
     }
     const Json::Value& servers = answer.value()["servers"];
-    if (!servers.isObject() || !servers["revision"].isInt64() || !servers["hash"].isUInt64())
+    if (!servers.isObject() || !servers["revision"].isInt64() || !servers["whole"].isBool()
+        || !servers["removed"].isArray())
         co_return false;
     const SteadyTime serversAt = readAt(servers);
-    if (servers["revision"].asInt64() < this->serversRevision || serversAt <= this->serversReadAt)
+    const int64_t revision = servers["revision"].asInt64();
+    const bool isWhole = servers["whole"].asBool();
+    if (revision < this->serversRevision || serversAt <= this->serversReadAt)
         co_return true;
-    if (servers["hash"].asUInt64() == this->serversHash && this->hasServers) {
-        this->serversReadAt = serversAt;
-        this->serversRevision = servers["revision"].asInt64();
-        co_return true;
-    }
     Result<std::vector<StoreItem>> items = itemsFrom(servers["items"], address);
-    if (items)
-        this->applyServers(std::move(items.value()), servers["revision"].asInt64(), serversAt, "peer");
+    // Changes count from the revision that was asked with; a reading of the store may have come between.
+    if (!items || (!isWhole && askedRevision != this->serversRevision))
+        co_return false;
+    ServerChanges changes { std::move(items.value()), {}, isWhole, revision, serversAt };
+    for (const Json::Value& key : servers["removed"]) {
+        if (key.isString())
+            changes.removed.push_back(key.asString());
+    }
+    this->applyServers(std::move(changes), "peer");
     co_return true;
 }
 
@@ -390,40 +400,78 @@
         this->operatorHash = hash64(key, this->operatorHash ^ static_cast<uint64_t>(item.revision));
 }
 
-void ClusterFollower::applyServers(
-    std::vector<StoreItem> items, int64_t revision, SteadyTime readAt, const char* source)
+bool ClusterFollower::takeServer(StoreItem item, int64_t revision)
 {
-    if (revision < this->serversRevision || readAt < this->serversReadAt)
+    Result<ServerRecord> record = this->codec.decodeServer(item);
+    if (!record) {
+        int64_t& refused = this->refusedServerRevisions[item.key];
+        if (refused == 0)
+            this->log.write(LogImportance::State, "server-record-refused",
+                { { "key", item.key }, { "revision", item.revision }, { "reason", describe(record.error()) } });
+        refused = item.revision;
+        // The entry is no longer the server's own.
+        if (this->serverItems.erase(item.key) == 0)
+            return false;
+        this->removedServers[item.key] = revision;
+        return true;
+    }
+    const std::string key = item.key;
+    const uint64_t hash = hashOf(record.value());
+    ServerItem& known = this->serverItems[key];
+    const bool isChanged = known.hash != hash;
+    if (isChanged)
+        known.changedRevision = revision;
+    known.hash = hash;
+    known.item = std::move(item);
+    known.record = std::move(record.value());
+    this->removedServers.erase(key);
+    return isChanged;
+}
+
+void ClusterFollower::applyServers(ServerChanges changes, const char* source)
+{
+    if (changes.revision < this->serversRevision || changes.readAt < this->serversReadAt)
         return;
     const SteadyTime now = this->clock.now();
-    if (this->hasServers && millisecondsBetween(this->serversReadAt, readAt) > outageMs)
+    if (this->hasServers && millisecondsBetween(this->serversReadAt, changes.readAt) > outageMs)
         this->missingGraceUntil = now + Milliseconds(this->settings.bounds.registryRecoveryMs);
-    std::vector<ServerRecord> records;
-    std::vector<StoreItem> readable;
-    uint64_t hash = 1;
-    for (StoreItem& item : items) {
-        Result<ServerRecord> record = this->codec.decodeServer(item);
-        if (!record) {
-            int64_t& refused = this->refusedServerRevisions[item.key];
-            if (refused == 0)
-                this->log.write(LogImportance::State, "server-record-refused",
-                    { { "key", item.key }, { "revision", item.revision }, { "reason", describe(record.error()) } });
-            refused = item.revision;
-            continue;
+    if (!this->hasServers)
+        this->changesKnownFrom = changes.revision;
+    bool isChanged = false;
+    std::set<std::string> present;
+    for (StoreItem& item : changes.items) {
+        const std::string key = item.key;
+        if (changes.isWhole)
+            present.insert(key);
+        isChanged = this->takeServer(std::move(item), changes.revision) || isChanged;
+    }
+    if (changes.isWhole) {
+        for (const auto& [key, known] : this->serverItems) {
+            if (!present.contains(key))
+                changes.removed.push_back(key);
         }
-        hash ^= hashOf(record.value());
-        records.push_back(std::move(record.value()));
-        readable.push_back(std::move(item));
     }
-    this->serversRevision = revision;
-    this->serversReadAt = readAt;
+    for (const std::string& key : changes.removed) {
+        isChanged = this->serverItems.erase(key) > 0 || isChanged;
+        this->removedServers[key] = changes.revision;
+    }
+    if (this->removedServers.size() > maximumRemovedServers) {
+        this->removedServers.clear();
+        this->changesKnownFrom = changes.revision;
+    }
+    this->serversRevision = changes.revision;
+    this->serversReadAt = changes.readAt;
     this->hasServers = true;
-    if (hash != this->serversHash)
+    if (isChanged)
         this->log.write(LogImportance::State, "servers",
-            { { "count", static_cast<uint64_t>(records.size()) }, { "revision", revision }, { "source", source },
-                { "age_ms", millisecondsBetween(readAt, now) } });
-    this->serversHash = hash;
-    this->serverItems = std::move(readable);
+            { { "count", static_cast<uint64_t>(this->serverItems.size()) }, { "revision", changes.revision },
+                { "source", source }, { "age_ms", millisecondsBetween(changes.readAt, now) } });
+    if (!isChanged && !changes.isWhole)
+        return;
+    std::vector<ServerRecord> records;
+    records.reserve(this->serverItems.size());
+    for (const auto& [key, known] : this->serverItems)
+        records.push_back(known.record);
     this->fleet.apply(records, std::max(this->missingGraceUntil, now));
 }
 
@@ -478,7 +526,7 @@
         this->log.write(LogImportance::State, "lease-not-ended", { { "reason", describe(ended.error()) } });
 }
 
-std::string ClusterFollower::describeFor(uint64_t knownOperatorHash, uint64_t knownServersHash) const
+std::string ClusterFollower::describeFor(uint64_t knownOperatorHash, int64_t knownServersRevision) const
 {
     const SteadyTime now = this->clock.now();
     Json::Value answer;
@@ -495,13 +543,19 @@
     }
     if (this->hasServers) {
         Json::Value& part = answer["servers"];
+        const bool isWhole = knownServersRevision < this->changesKnownFrom;
         part["revision"] = static_cast<Json::Int64>(this->serversRevision);
-        part["hash"] = static_cast<Json::UInt64>(this->serversHash);
         part["ageMs"] = static_cast<Json::Int64>(millisecondsBetween(this->serversReadAt, now));
-        if (this->serversHash != knownServersHash) {
-            part["items"] = Json::Value(Json::arrayValue);
-            for (const StoreItem& item : this->serverItems)
-                part["items"].append(toJson(item));
+        part["whole"] = isWhole;
+        part["items"] = Json::Value(Json::arrayValue);
+        part["removed"] = Json::Value(Json::arrayValue);
+        for (const auto& [key, known] : this->serverItems) {
+            if (isWhole || known.changedRevision > knownServersRevision)
+                part["items"].append(toJson(known.item));
+        }
+        for (const auto& [key, revision] : this->removedServers) {
+            if (!isWhole && revision > knownServersRevision)
+                part["removed"].append(key);
         }
     }
     Json::StreamWriterBuilder builder;
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -55,6 +55,7 @@
     InstanceBeat beat;
     beat.address = parseIPv4(settings.address).value();
     beat.domain = domainIndex(settings);
+    beat.capacity = static_cast<uint8_t>(std::clamp(settings.linkMegabits / 10, 0.0, 255.0));
     beat.incarnation = static_cast<uint64_t>(toUnixMilliseconds(clock.wallNow()));
     return beat;
 }
@@ -220,11 +221,13 @@
         return this->answerLookup(query);
     if (path == "/state") {
         const uint64_t operatorHash = unsignedValue(queryValue(query, "operator"));
-        const uint64_t serversHash = unsignedValue(queryValue(query, "servers"));
-        return makeAnswer(http::status::ok, this->cluster.describeFor(operatorHash, serversHash));
+        // A peer without a copy asks with -1, which reads as 0 and gets all.
+        const auto serversRevision = static_cast<int64_t>(unsignedValue(queryValue(query, "servers")));
+        return makeAnswer(http::status::ok, this->cluster.describeFor(operatorHash, serversRevision));
     }
     if (path == "/metrics") {
-        this->metrics.setGauge("wagtailrack_servers_age_seconds", "", this->cluster.serversAgeMs() / 1000.0);
+        this->metrics.setGauge(
+            "wagtailrack_servers_age_seconds", "", static_cast<double>(this->cluster.serversAgeMs()) / 1000);
         this->metrics.setGauge("wagtailrack_instances_alive", "", static_cast<double>(this->instances.alive().size()));
         this->metrics.setGauge("wagtailrack_callers_connected", "", static_cast<double>(this->callers.sessionCount()));
         this->metrics.setGauge(
--- a/src/edge/src/InstanceView.cpp
+++ b/src/edge/src/InstanceView.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-// Datagram: magic, then for each beat address (4), domain (1), flags (1), incarnation (8), counter (4), big endian. The
-// first beat is the sender's.
-constexpr std::string_view magic = "WRB1";
-constexpr size_t beatBytes = 18;
+// Datagram: magic, then for each beat address (4), domain (1), capacity (1), flags (1), incarnation (8), counter (4),
+// big endian. The first beat is the sender's.
+constexpr std::string_view magic = "WRB2";
+constexpr size_t beatBytes = 19;
 constexpr uint8_t readyFlag = 1;
 constexpr uint8_t leavingFlag = 2;
 
@@ -33,6 +33,7 @@
 {
     append(text, beat.address, 4);
     append(text, beat.domain, 1);
+    append(text, beat.capacity, 1);
     append(text, (beat.isReady ? readyFlag : 0U) | (beat.isLeaving ? leavingFlag : 0U), 1);
     append(text, beat.incarnation, 8);
     append(text, beat.counter, 4);
@@ -43,6 +44,7 @@
     InstanceBeat beat;
     beat.address = static_cast<uint32_t>(take(text, 4));
     beat.domain = static_cast<uint8_t>(take(text, 1));
+    beat.capacity = static_cast<uint8_t>(take(text, 1));
     const uint64_t flags = take(text, 1);
     beat.isReady = (flags & readyFlag) != 0;
     beat.isLeaving = (flags & leavingFlag) != 0;
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -59,6 +59,16 @@
 
 }
 
+bool ColdSenders::include(uint64_t serverHash) const
+{
+    const uint64_t ownRank = mix(this->own, serverHash);
+    const auto before = std::count_if(this->instances.begin(), this->instances.end(),
+        [&](uint64_t instance) { return mix(instance, serverHash) > ownRank; });
+    return static_cast<size_t>(before) < this->most;
+}
+
+int ColdSenders::count() const { return static_cast<int>(std::clamp<size_t>(this->instances.size(), 1, this->most)); }
+
 uint64_t objectHashOf(const RouteRule& rule, const std::string& affinityKey)
 {
     return hash64(affinityKey, hash64(rule.name));
@@ -174,8 +184,8 @@
         if (server.coldUntil <= now)
             return candidate.choice;
         // Only its own region sends to a server while it is cold, so that the shares add up to what it bears.
-        if (server.region == request.region
-            && fleet.takeColdToken(server, request.service.coldRequestsPerSecond, request.sendersInRegion))
+        if (server.region == request.region && request.coldSenders.include(server.placementHash)
+            && fleet.takeColdToken(server, request.service.coldRequestsPerSecond, request.coldSenders.count()))
             return candidate.choice;
     }
     return std::nullopt;
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -1,6 +1,6 @@
 #include <wagtailrack/edge/RequestForwarder.h>
 
-#include <wagtailrack/base/Random.h>
+#include <wagtailrack/base/Hash.h>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -35,6 +35,8 @@
 // Retry-After: callers come back after a part of the time that a slot needs to become free.
 constexpr double shortestReturnSeconds = 0.05;
 constexpr double returnPart = 0.25;
+// Changes of membership are looked at this often.
+constexpr Milliseconds countInterval(250);
 // Until a first version is known.
 constexpr double startReturnSeconds = 0.4;
 
@@ -96,22 +98,33 @@
     return millisecondsSince(this->services.clock.now(), flight.deadline);
 }
 
-int RequestForwarder::instancesInRegion() const
+void RequestForwarder::countInstances()
 {
+    const SteadyTime now = this->services.clock.now();
+    if (now < this->countAgainAt)
+        return;
+    this->countAgainAt = now + countInterval;
     const auto& domains = this->services.settings.regionOfDomain;
-    int count = 0;
-    for (const InstanceBeat& beat : this->services.instances.alive()) {
-        if (beat.domain >= domains.size())
-            continue;
-        if (std::next(domains.begin(), beat.domain)->second == this->services.settings.region)
-            ++count;
+    const std::vector<InstanceBeat> alive = this->services.instances.alive();
+    this->instanceCount = alive.size();
+    this->coldSenders.instances.clear();
+    this->coldSenders.own = hash64(std::to_string(this->services.instances.own().address));
+    this->coldSenders.most = static_cast<size_t>(std::max(1.0, this->services.settings.bounds.coldSlack));
+    for (const InstanceBeat& beat : alive) {
+        if (beat.domain < domains.size()
+            && std::next(domains.begin(), beat.domain)->second == this->services.settings.region)
+            this->coldSenders.instances.push_back(hash64(std::to_string(beat.address)));
     }
-    return std::max(count, 1);
+}
+
+int RequestForwarder::instancesInRegion() const
+{
+    return std::max(1, static_cast<int>(this->coldSenders.instances.size()));
 }
 
 double RequestForwarder::slackShare() const
 {
-    const auto instances = static_cast<double>(this->services.instances.alive().size());
+    const auto instances = static_cast<double>(std::max<size_t>(this->instanceCount, 1));
     return this->services.settings.bounds.retrySlack * slackPart / instances;
 }
 
@@ -201,6 +214,7 @@
         patienceMs = rule->timeoutMs;
     flight.deadline = flight.exchange->arrivedAt + Milliseconds(std::min(patienceMs, rule->timeoutMs));
     flight.service = this->chooseService(*rule);
+    this->countInstances();
     const FleetBounds& bounds = this->services.settings.bounds;
     this->allowances[flight.service].recordRequest(bounds.retryRatio, this->slackShare());
     return true;
@@ -244,7 +258,7 @@
         const ServiceRule unknown { flight.service, 0, 0, 1 };
         const PlacementRequest request { flight.rule, service ? *service : unknown, flight.affinityKey,
             this->services.settings.region, this->services.settings.failureDomain, this->roundTripsMs,
-            this->localCopies.isWanted(objectHashOf(flight.rule, flight.affinityKey)), this->instancesInRegion(),
+            this->localCopies.isWanted(objectHashOf(flight.rule, flight.affinityKey)), this->coldSenders,
             flight.excluded };
         const SteadyTime now = this->services.clock.now();
         const std::optional<PlacementChoice> choice
--- a/src/edge/src/ServerConnections.cpp
+++ b/src/edge/src/ServerConnections.cpp
@@ -20,7 +20,7 @@
 // Answers of other requests that are skipped before the connection is given up.
 constexpr int maximumSkippedAnswers = 2;
 // Answers are held in memory whole; a larger one is an error.
-constexpr uint64_t maximumAnswerBytes = 16 * 1024 * 1024;
+constexpr uint64_t maximumAnswerBytes = 16'777'216;
 // A kept connection is dropped this long before the server would close it.
 constexpr Milliseconds keepAliveMargin(700);
 
@@ -126,7 +126,7 @@
     auto& connections = found->second;
     while (!connections.empty()) {
         // The newest first: the others grow old and are closed.
-        const ClientConnectionPointer connection = connections.back();
+        ClientConnectionPointer connection = connections.back();
         connections.pop_back();
         if (now < connection->idleUntil && !isStale(connection->socket))
             return connection;
--- a/src/version/src/parseJson.cpp
+++ b/src/version/src/parseJson.cpp
@@ -8,10 +8,16 @@
 
 Result<Json::Value> parseJson(std::string_view text, const std::string& place, int maxDepth)
 {
-    Json::CharReaderBuilder builder;
-    Json::CharReaderBuilder::strictMode(&builder.settings_);
-    builder.settings_["stackLimit"] = maxDepth;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    // Making a reader takes longer than most texts.
+    thread_local std::unique_ptr<Json::CharReader> reader;
+    thread_local int readerDepth = -1;
+    if (!reader || readerDepth != maxDepth) {
+        Json::CharReaderBuilder builder;
+        Json::CharReaderBuilder::strictMode(&builder.settings_);
+        builder.settings_["stackLimit"] = maxDepth;
+        reader.reset(builder.newCharReader());
+        readerDepth = maxDepth;
+    }
     Json::Value value;
     std::string failures;
     try {
