Beats go to instances chosen by chance

Ruled out: the link (small datagrams were not lost). InstanceView.manyInstancesStartedTogetherStayAlive failed first (1 alive in place of 85).

--- a/src/edge/include/wagtailrack/edge/InstanceView.h
+++ b/src/edge/include/wagtailrack/edge/InstanceView.h
@@ -57,7 +57,7 @@
 
     // Alive instances, this one included.
     std::vector<InstanceBeat> alive() const;
-    // Addresses to which the next datagram goes: `count` by turns, silent ones included.
+    // Addresses to which the next datagram goes: `count` of all by chance, silent ones included.
     std::vector<uint32_t> nextTargets(size_t count);
     void forgetSilent();
 
@@ -75,7 +75,6 @@
     InstanceBeat self;
     std::map<uint32_t, Known> others;
     uint32_t beatTurn = 0;
-    uint32_t targetTurn = 0;
 };
 
 }
--- a/src/edge/src/InstanceView.cpp
+++ b/src/edge/src/InstanceView.cpp
@@ -1,5 +1,7 @@
 #include <wagtailrack/edge/InstanceView.h>
 
+#include <wagtailrack/base/Random.h>
+
 #include <algorithm>
 #include <tuple>
 
@@ -139,16 +141,14 @@
 std::vector<uint32_t> InstanceView::nextTargets(size_t count)
 {
     std::vector<uint32_t> targets;
-    if (this->others.empty())
-        return targets;
-    auto entry = this->others.begin();
-    std::advance(entry, this->targetTurn % this->others.size());
-    for (size_t index = 0; index < std::min(count, this->others.size()); ++index) {
-        targets.push_back(entry->first);
-        ++this->targetTurn;
-        if (++entry == this->others.end())
-            entry = this->others.begin();
-    }
+    targets.reserve(this->others.size());
+    for (const auto& [address, known] : this->others)
+        targets.push_back(address);
+    // Chance, not turns: instances that started together would all send to the same ones at the same time.
+    const size_t chosen = std::min(count, targets.size());
+    for (size_t index = 0; index < chosen; ++index)
+        std::swap(targets[index], targets[index + randomBelow(targets.size() - index)]);
+    targets.resize(chosen);
     return targets;
 }
 
--- a/src/edge/tests/InstanceViewTest.cpp
+++ b/src/edge/tests/InstanceViewTest.cpp
@@ -71,6 +71,30 @@
     LONGS_EQUAL(2, first->alive().size());
 }
 
+// Guards against instances that started together, send to the same ones at the same time and hear nothing in between.
+TEST(InstanceView, manyInstancesStartedTogetherStayAlive)
+{
+    constexpr uint32_t count = 85;
+    std::vector<std::unique_ptr<InstanceView>> all;
+    for (uint32_t address = 1; address <= count; ++address) {
+        all.push_back(this->instance(address));
+        for (uint32_t other = 1; other <= count; ++other)
+            all.back()->introduce(other);
+    }
+    for (int beat = 0; beat < 60; ++beat) {
+        for (const auto& one : all) {
+            const std::string datagram = one->nextDatagram();
+            for (const uint32_t target : one->nextTargets(8))
+                all[target - 1]->receive(datagram);
+        }
+        this->clock.advance(Milliseconds(500));
+        if (beat < 20)
+            continue;
+        for (const auto& one : all)
+            LONGS_EQUAL(count, one->alive().size());
+    }
+}
+
 // Guards against bytes from elsewhere on the port.
 TEST(InstanceView, malformedDatagramsAreRefused)
 {
