--- a/src/edge/include/wagtailrack/edge/Placement.h
+++ b/src/edge/include/wagtailrack/edge/Placement.h
@@ -32,6 +32,9 @@
     int count() const;
 };
 
+// Work of a route of which nothing was measured yet.
+WorkEstimate assumedWork(const RouteRule& rule);
+
 // What the choice of a server for one request depends on, beside the fleet.
 struct PlacementRequest {
     const RouteRule& rule;
@@ -74,6 +77,10 @@
 // than they can be served, longer queues serve no more of them and all of them late.
 double longestWaitMs(const RouteRule& rule, double workMs);
 
+// Whether a request with `leftMs` until its deadline is to be sent. Without a queue it always is: the estimate of work
+// may be wrong, and a route whose requests were all rejected would never be measured.
+bool isServable(const PlacementChoice& choice, const RouteRule& rule, double leftMs);
+
 // Chooses the server with the smallest expected time to answer. Each object has its own order of servers (rendezvous
 // hashing), the same on every instance; the first one of that order is taken to be warm, with a local copy also the
 // first one of this region. Nothing when no server may be
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -37,6 +37,13 @@
 // Delay of a region from which nothing was heard yet.
 constexpr double assumedRegionDelayMs = 60;
 
+// Work assumed until it was measured, in relation to the route's target latency, and at most to its timeout.
+constexpr double assumedColdPart = 1.2;
+constexpr double assumedWarmPart = 0.36;
+constexpr double assumedTimeoutPart = 0.5;
+// A send with less time than this part of the expected work cannot end well.
+constexpr double leastWorkPart = 0.7;
+
 struct Norm {
     double slowness = 1;
     double failureRate = 0;
@@ -91,6 +98,21 @@
     return ahead / slots * slotMs;
 }
 
+WorkEstimate assumedWork(const RouteRule& rule)
+{
+    const auto target = static_cast<double>(rule.targetLatencyMs);
+    const double most = assumedTimeoutPart * static_cast<double>(rule.timeoutMs);
+    return { std::min(target * assumedColdPart, most), std::min(target * assumedWarmPart, most) };
+}
+
+bool isServable(const PlacementChoice& choice, const RouteRule& rule, double leftMs)
+{
+    if (choice.expectedWaitMs <= 0)
+        return leftMs > 0;
+    return choice.expectedWaitMs + leastWorkPart * choice.expectedWorkMs <= leftMs
+        && choice.expectedWaitMs <= longestWaitMs(rule, choice.expectedWorkMs);
+}
+
 double longestWaitMs(const RouteRule& rule, double workMs)
 {
     const auto target = static_cast<double>(rule.targetLatencyMs);
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -21,15 +21,10 @@
 constexpr Milliseconds answerGrace(80);
 // Weight of a new sample of a round trip.
 constexpr double roundTripWeight = 0.2;
-// Work assumed until it was measured, in relation to the route's target latency.
-constexpr double assumedColdWork = 1.2;
-constexpr double assumedWarmWork = 0.36;
 // Quantiles of a route's durations that are taken for its work, and the step of their estimates.
 constexpr double warmQuantile = 0.4;
 constexpr double coldQuantile = 0.5;
 constexpr double workStep = 0.08;
-// A send with less time than this part of the expected work cannot end well.
-constexpr double leastWorkPart = 0.7;
 // Part of the retry slack that the instances divide; the rest covers instances that are not seen yet.
 constexpr double slackPart = 0.8;
 // Retry-After: callers come back after a part of the time that a slot needs to become free.
@@ -131,10 +126,8 @@
 WorkEstimate& RequestForwarder::workOf(const RouteRule& rule)
 {
     const auto [found, isNew] = this->works.try_emplace(rule.name);
-    if (isNew) {
-        const auto target = static_cast<double>(rule.targetLatencyMs);
-        found->second = { target * assumedColdWork, target * assumedWarmWork };
-    }
+    if (isNew)
+        found->second = assumedWork(rule);
     return found->second;
 }
 
@@ -265,10 +258,7 @@
             = chooseServer(this->services.fleet, request, this->workOf(flight.rule), now);
         flight.lastChoice = choice;
         const double left = this->leftMs(flight);
-        const bool isTooLate = choice
-            && (choice->expectedWaitMs + leastWorkPart * choice->expectedWorkMs > left
-                || choice->expectedWaitMs > longestWaitMs(flight.rule, choice->expectedWorkMs));
-        if (!choice || isTooLate || left <= 0) {
+        if (!choice || !isServable(*choice, flight.rule, left)) {
             if (flight.fallback)
                 this->deliver(flight, std::move(*flight.fallback), "server-failure");
             else if (flight.mayHaveRun)
--- a/src/edge/tests/PlacementTest.cpp
+++ b/src/edge/tests/PlacementTest.cpp
@@ -125,6 +125,26 @@
         STRCMP_EQUAL("north", this->choose(std::to_string(object), true)->server->region.c_str());
 }
 
+// Pattern: a route that was just added, with a timeout below its target latency. Guards against a guess of its work
+// that rejects every request and so is never corrected.
+TEST(Placement, newRouteWithAShortTimeoutIsServed)
+{
+    this->rule.timeoutMs = 400;
+    this->rule.targetLatencyMs = 1000;
+    this->rule.hasAffinity = false;
+    this->work = assumedWork(this->rule);
+    CHECK_TRUE(isServable(*this->choose(""), this->rule, 390));
+    // Also beside a short queue, and when the work was measured too long once.
+    PlacementChoice choice = *this->choose("");
+    choice.expectedWaitMs = 100;
+    CHECK_TRUE(isServable(choice, this->rule, 390));
+    choice.expectedWaitMs = 0;
+    choice.expectedWorkMs = 5000;
+    CHECK_TRUE(isServable(choice, this->rule, 390));
+    choice.expectedWaitMs = 350;
+    CHECK_FALSE(isServable(choice, this->rule, 390));
+}
+
 // Pattern: look-ups of more objects than a server remembers, where only a server that knows the object answers in time,
 // at 60% of what servers that know their objects could do. The former policy takes the server with the
 // fewest requests.
