--- a/src/edge/include/wagtailrack/edge/Http.h
+++ b/src/edge/include/wagtailrack/edge/Http.h
@@ -42,6 +42,9 @@
 // Text of a header, empty when it is missing.
 std::string headerText(const http::fields& fields, const std::string& name);
 
+// Value of a cookie, empty when it is missing.
+std::string cookieValue(const http::fields& fields, const std::string& name);
+
 // Removes the headers that concern only one connection, those named by Connection included.
 void removeConnectionHeaders(http::fields& fields);
 
--- a/src/edge/include/wagtailrack/edge/ServerConnections.h
+++ b/src/edge/include/wagtailrack/edge/ServerConnections.h
@@ -7,7 +7,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -21,8 +20,6 @@
     Answered,
     // No connection; nothing was sent.
     ConnectFailed,
-    // A kept connection was closed before the request went out; nothing was sent.
-    NotSent,
     // Reset, truncated, unreadable or another request's answer after the request was sent.
     Broken,
     // No answer until the deadline.
@@ -95,8 +92,7 @@
     // Idle connections are closed after `maximumIdle`, or earlier when the server says so in Keep-Alive.
     ServerConnections(asio::io_context& context, Milliseconds maximumIdle, int silenceMs);
 
-    // Sends call->request to `server` and reads the answer. A kept connection that turns out to be closed is replaced
-    // by a new one as long as nothing was sent.
+    // Sends call->request to `server` and reads the answer. Kept connections that the server has closed are passed over.
     asio::awaitable<CallEnd> run(std::shared_ptr<Call> call, Endpoint server);
 
     // Closes idle connections to the address.
--- a/src/edge/src/ClusterFollower.cpp
+++ b/src/edge/src/ClusterFollower.cpp
@@ -173,7 +173,7 @@
         return;
     this->isStoreReachable = isReachable;
     this->log.write(LogImportance::State, isReachable ? "store-regained" : "store-lost",
-        { { "call", call }, { "detail", detail }, { "servers_age_ms", this->serversAgeMs() } });
+        { { "call", call }, { "detail", detail }, { "servers_age_ms", this->hasServers ? this->serversAgeMs() : -1 } });
 }
 
 asio::awaitable<bool> ClusterFollower::readOperator()
--- a/src/edge/src/Http.cpp
+++ b/src/edge/src/Http.cpp
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdio>
 #include <vector>
@@ -28,6 +29,23 @@
     return found == fields.end() ? std::string() : std::string(found->value());
 }
 
+std::string cookieValue(const http::fields& fields, const std::string& name)
+{
+    const auto range = fields.equal_range(http::field::cookie);
+    for (auto field = range.first; field != range.second; ++field) {
+        std::string_view text(field->value().data(), field->value().size());
+        while (!text.empty()) {
+            const size_t end = std::min(text.find(';'), text.size());
+            std::string_view part = text.substr(0, end);
+            text.remove_prefix(std::min(end + 1, text.size()));
+            part.remove_prefix(std::min(part.find_first_not_of(' '), part.size()));
+            if (part.size() > name.size() && part.substr(0, name.size()) == name && part[name.size()] == '=')
+                return std::string(part.substr(name.size() + 1));
+        }
+    }
+    return {};
+}
+
 void removeConnectionHeaders(http::fields& fields)
 {
     std::vector<std::string> names;
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -40,24 +40,6 @@
     return std::chrono::duration<double, std::milli>(to - from).count();
 }
 
-// Value of a cookie, empty when it is missing.
-std::string cookieValue(const http::fields& fields, const std::string& name)
-{
-    const auto range = fields.equal_range(http::field::cookie);
-    for (auto field = range.first; field != range.second; ++field) {
-        std::string_view text(field->value().data(), field->value().size());
-        while (!text.empty()) {
-            const size_t end = std::min(text.find(';'), text.size());
-            std::string_view part = text.substr(0, end);
-            text.remove_prefix(std::min(end + 1, text.size()));
-            part.remove_prefix(std::min(part.find_first_not_of(' '), part.size()));
-            if (part.size() > name.size() && part.substr(0, name.size()) == name && part[name.size()] == '=')
-                return std::string(part.substr(name.size() + 1));
-        }
-    }
-    return {};
-}
-
 // Below zero when the text is no number.
 int64_t parseNumber(std::string_view text)
 {
@@ -327,7 +309,6 @@
         ++flight.sends;
         co_return this->judgeAnswer(flight, *server, choice, *call, durationMs);
     case CallEnd::ConnectFailed:
-    case CallEnd::NotSent:
         this->services.fleet.endAttempt(*server, ServerOutcome::Unreachable);
         this->services.connections.forget(address);
         ++flight.connectFailures;
--- a/src/edge/src/ServerConnections.cpp
+++ b/src/edge/src/ServerConnections.cpp
@@ -60,8 +60,6 @@
         return "answered";
     case CallEnd::ConnectFailed:
         return "connect-failed";
-    case CallEnd::NotSent:
-        return "not-sent";
     case CallEnd::Broken:
         return "broken";
     case CallEnd::TimedOut:
