--- a/src/edge/include/wagtailrack/edge/ServerConnections.h
+++ b/src/edge/include/wagtailrack/edge/ServerConnections.h
@@ -92,7 +92,8 @@
     // Idle connections are closed after `maximumIdle`, or earlier when the server says so in Keep-Alive.
     ServerConnections(asio::io_context& context, Milliseconds maximumIdle, int silenceMs);
 
-    // Sends call->request to `server` and reads the answer. Kept connections that the server has closed are passed over.
+    // Sends call->request to `server` and reads the answer. Kept connections that the server has closed are passed
+    // over.
     asio::awaitable<CallEnd> run(std::shared_ptr<Call> call, Endpoint server);
 
     // Closes idle connections to the address.
