Read-through of the edge: one piece for the region of an instance, the end of a request, the index of servers

Found on reading the change: the region of an instance's domain index was worked out in three places (regionReader, countInstances, answerLookup), the end of a request that no server answers in two, the look-up of its rule in three, and the index of servers by service was built twice for a reading that drops servers.

--- a/src/edge/include/wagtailrack/edge/BackendFleet.h
+++ b/src/edge/include/wagtailrack/edge/BackendFleet.h
@@ -119,6 +119,9 @@
 
 private:
     void update(BackendServer& server, const ServerRecord& record);
+    // Whether any server went.
+    bool eraseMissing();
+    void indexByService();
 
     const Clock& clock;
     std::map<std::string, std::string> regionOfDomain;
--- a/src/edge/include/wagtailrack/edge/EdgeSettings.h
+++ b/src/edge/include/wagtailrack/edge/EdgeSettings.h
@@ -3,7 +3,9 @@
 #include <wagtailrack/base/Endpoint.h>
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <string>
 
@@ -45,6 +47,15 @@
     double linkMegabits = 0;
     FleetBounds bounds;
 
+    // Region of the failure domain at `index` of the sorted names, by which instances name their domains to each other;
+    // empty when there is none.
+    std::string regionAt(size_t index) const
+    {
+        if (index >= this->regionOfDomain.size())
+            return {};
+        return std::next(this->regionOfDomain.begin(), static_cast<std::ptrdiff_t>(index))->second;
+    }
+
     friend bool operator==(const EdgeSettings&, const EdgeSettings&) = default;
 };
 
--- a/src/edge/include/wagtailrack/edge/Placement.h
+++ b/src/edge/include/wagtailrack/edge/Placement.h
@@ -83,8 +83,7 @@
 
 // Chooses the server with the smallest expected time to answer. Each object has its own order of servers (rendezvous
 // hashing), the same on every instance; the first one of that order is taken to be warm, with a local copy also the
-// first one of this region. Nothing when no server may be
-// used. May take a token of a cold server.
+// first one of this region. Nothing when no server may be used. May take a token of a cold server.
 std::optional<PlacementChoice> chooseServer(
     BackendFleet& fleet, const PlacementRequest& request, const WorkEstimate& work, SteadyTime now);
 
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -90,6 +90,9 @@
     asio::awaitable<Next> attempt(Flight& flight, PlacementChoice choice);
     Next judgeAnswer(
         Flight& flight, BackendServer& server, const PlacementChoice& choice, Call& call, double durationMs);
+    // Ends a request that no server answers: with a server's failure if there is one, as unknown when it may have run,
+    // and otherwise as not run for `reason`.
+    void giveUp(Flight& flight, const char* reason);
     Next giveUpOrRetry(Flight& flight);
     bool begin(Flight& flight);
     std::shared_ptr<Call> makeCall(const Flight& flight, const BackendServer& server) const;
--- a/src/edge/src/BackendFleet.cpp
+++ b/src/edge/src/BackendFleet.cpp
@@ -73,28 +73,31 @@
         if (server->removeAt == SteadyTime() || missingGraceUntil < server->removeAt)
             server->removeAt = std::max(missingGraceUntil, now);
     }
-    this->removeMissing();
-    this->byService.clear();
-    for (const auto& [id, server] : this->byId)
-        this->byService[server->record.service].push_back(server);
+    this->eraseMissing();
+    this->indexByService();
 }
 
-void BackendFleet::removeMissing()
+bool BackendFleet::eraseMissing()
 {
     const SteadyTime now = this->clock.now();
-    bool changed = false;
-    for (auto entry = this->byId.begin(); entry != this->byId.end();) {
-        BackendServer& server = *entry->second;
-        if (server.removeAt == SteadyTime() || server.removeAt > now) {
-            ++entry;
-            continue;
-        }
+    const size_t erased = std::erase_if(this->byId, [this, now](const auto& entry) {
+        BackendServer& server = *entry.second;
+        if (server.removeAt == SteadyTime() || server.removeAt > now)
+            return false;
         this->markLeaving(server, "gone");
-        entry = this->byId.erase(entry);
-        changed = true;
-    }
-    if (!changed)
-        return;
+        return true;
+    });
+    return erased > 0;
+}
+
+void BackendFleet::removeMissing()
+{
+    if (this->eraseMissing())
+        this->indexByService();
+}
+
+void BackendFleet::indexByService()
+{
     this->byService.clear();
     for (const auto& [id, server] : this->byId)
         this->byService[server->record.service].push_back(server);
--- a/src/edge/src/ClusterFollower.cpp
+++ b/src/edge/src/ClusterFollower.cpp
@@ -134,16 +134,11 @@
 
 std::string ClusterFollower::regionReader() const
 {
-    const uint8_t ownDomain = this->instances.own().domain;
-    // Domains are numbered by their sorted names, like the map of the settings.
-    std::vector<std::string> regions;
-    for (const auto& [domain, region] : this->settings.regionOfDomain)
-        regions.push_back(region);
     // Instances with a fast link first: the reader sends every change to all others of its region.
     std::pair<int, uint64_t> best { -1, 0 };
     uint32_t reader = this->instances.own().address;
     for (const InstanceBeat& beat : this->instances.alive()) {
-        if (beat.isLeaving || beat.domain >= regions.size() || regions[beat.domain] != regions[ownDomain])
+        if (beat.isLeaving || this->settings.regionAt(beat.domain) != this->settings.region)
             continue;
         const std::pair<int, uint64_t> rank { beat.capacity, hash64(dotted(beat.address)) };
         if (rank > best) {
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -183,9 +183,8 @@
     for (const InstanceBeat& beat : this->instances.alive()) {
         if (!beat.isReady || beat.isLeaving || beat.domain >= this->settings.regionOfDomain.size())
             continue;
-        const auto& domain = *std::next(this->settings.regionOfDomain.begin(), beat.domain);
         const Endpoint endpoint { asio::ip::address_v4(beat.address).to_string(), this->settings.callerAddress.port };
-        (domain.second == region ? inRegion : elsewhere).push_back(endpoint.toString());
+        (this->settings.regionAt(beat.domain) == region ? inRegion : elsewhere).push_back(endpoint.toString());
     }
     std::vector<std::string>& addresses = inRegion.empty() ? elsewhere : inRegion;
     if (addresses.empty())
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -40,6 +40,13 @@
     return std::chrono::duration<double, std::milli>(to - from).count();
 }
 
+// Null when no route matches.
+const RouteRule* findRule(const RoutingTable& table, const HttpRequest& request)
+{
+    const auto target = request.target();
+    return table.find(headerText(request.base(), "Host"), std::string_view(target.data(), target.size()));
+}
+
 // Below zero when the text is no number.
 int64_t parseNumber(std::string_view text)
 {
@@ -66,7 +73,7 @@
     const RoutingTablePointer table = this->services.cluster.table();
     if (!table)
         return false;
-    const RouteRule* rule = table->find(headerText(request.base(), "Host"), std::string(request.target()));
+    const RouteRule* rule = findRule(*table, request);
     return rule && rule->idempotency == version::Idempotency::Idempotent;
 }
 
@@ -81,15 +88,13 @@
     if (now < this->countAgainAt)
         return;
     this->countAgainAt = now + countInterval;
-    const auto& domains = this->services.settings.regionOfDomain;
     const std::vector<InstanceBeat> alive = this->services.instances.alive();
     this->instanceCount = alive.size();
     this->coldSenders.instances.clear();
     this->coldSenders.own = hash64(std::to_string(this->services.instances.own().address));
     this->coldSenders.most = static_cast<size_t>(std::max(1.0, this->services.settings.bounds.coldSlack));
     for (const InstanceBeat& beat : alive) {
-        if (beat.domain < domains.size()
-            && std::next(domains.begin(), beat.domain)->second == this->services.settings.region)
+        if (this->services.settings.regionAt(beat.domain) == this->services.settings.region)
             this->coldSenders.instances.push_back(hash64(std::to_string(beat.address)));
     }
 }
@@ -177,7 +182,7 @@
         this->reject(flight, "no-configuration", startReturnSeconds);
         return false;
     }
-    const RouteRule* rule = flight.table->find(headerText(request.base(), "Host"), std::string(request.target()));
+    const RouteRule* rule = findRule(*flight.table, request);
     if (!rule) {
         this->fail(flight, http::status::not_found, "no-route");
         return false;
@@ -218,7 +223,7 @@
         if (table != flight.table && flight.sends == 0) {
             flight.table = table;
             const HttpRequest& request = flight.exchange->request;
-            const RouteRule* rule = table->find(headerText(request.base(), "Host"), std::string(request.target()));
+            const RouteRule* rule = findRule(*table, request);
             if (!rule) {
                 this->fail(flight, http::status::not_found, "no-route");
                 co_return;
@@ -241,13 +246,7 @@
         flight.lastChoice = choice;
         const double left = this->leftMs(flight);
         if (!choice || !isServable(*choice, flight.rule, left)) {
-            if (flight.fallback)
-                this->deliver(flight, std::move(*flight.fallback), "server-failure");
-            else if (flight.mayHaveRun)
-                this->fail(flight, http::status::bad_gateway, "outcome-unknown");
-            else
-                this->reject(flight, choice ? "no-time" : "no-server",
-                    std::max(shortestReturnSeconds, returnPart * left / 1000));
+            this->giveUp(flight, choice ? "no-time" : "no-server");
             co_return;
         }
         const Next next = co_await this->attempt(flight, *choice);
@@ -342,16 +341,22 @@
     co_return this->giveUpOrRetry(flight);
 }
 
-RequestForwarder::Next RequestForwarder::giveUpOrRetry(Flight& flight)
+void RequestForwarder::giveUp(Flight& flight, const char* reason)
 {
-    if (flight.sends<flight.rule.maxAttempts&& this->leftMs(flight)> 0)
-        return Next::TryAnother;
     if (flight.fallback)
         this->deliver(flight, std::move(*flight.fallback), "server-failure");
     else if (flight.mayHaveRun)
         this->fail(flight, http::status::bad_gateway, "outcome-unknown");
     else
-        this->reject(flight, "servers-full", std::max(shortestReturnSeconds, returnPart * this->leftMs(flight) / 1000));
+        this->reject(flight, reason, std::max(shortestReturnSeconds, returnPart * this->leftMs(flight) / 1000));
+}
+
+RequestForwarder::Next RequestForwarder::giveUpOrRetry(Flight& flight)
+{
+    const double left = this->leftMs(flight);
+    if (left > 0 && flight.sends < flight.rule.maxAttempts)
+        return Next::TryAnother;
+    this->giveUp(flight, "servers-full");
     return Next::Finished;
 }
 
