Responses of the store and of peers are not paced

Cause: the transfer budget reads large messages at a quarter of the link, so that servers which send without end leave room for others. It applied to the store and to peers as well. On a link of 10 Mbit/s the configuration then takes longer than the time limit of its call (1,000 ms and 600 ms), which is repeated whole and fails for ever.

Both are now bounded in memory only. Requests for lookups, readiness, state and metrics keep the unreserved part, as they have no body.

--- a/src/command/src/runEdge.cpp
+++ b/src/command/src/runEdge.cpp
@@ -45,7 +45,7 @@
     // One thread: the instances have a part of one core, and nothing then needs a lock.
     edge::asio::io_context context(1);
     platform::PlatformStore store(context, settings.value().storeAddress,
-        edge::transferLimitsFor(settings.value().memoryBytes, settings.value().linkMegabitsPerSecond * 1e6));
+        edge::internalTransferLimitsFor(settings.value().memoryBytes));
     const platform::PlatformCodec codec;
     edge::EdgeNode node(
         context, settings.value(), readSettings, platform::headerNames(), platform::edgePaths(), store, codec);
--- a/src/edge/include/wagtailrack/edge/EdgeNode.h
+++ b/src/edge/include/wagtailrack/edge/EdgeNode.h
@@ -75,9 +75,11 @@
     BackendFleet fleet;
     ShiftLimiter shiftLimiter;
     LoadExchange loadExchange;
-    // Messages of callers and servers, and messages of peers: neither can take the memory of the other.
+    // Messages of callers and servers, and responses of peers: neither can take the memory of the other.
     TransferBudget requestBudget;
     TransferBudget peerBudget;
+    // Requests for lookups, readiness, state and metrics have no body.
+    TransferBudget localRequestBudget { TransferLimits {} };
     HttpConnectionPool serverConnections;
     HttpConnectionPool peerConnections;
     ClusterStateCache clusterState;
--- a/src/edge/include/wagtailrack/edge/TransferBudget.h
+++ b/src/edge/include/wagtailrack/edge/TransferBudget.h
@@ -23,6 +23,10 @@
 // Derives the limits from the memory of an instance in bytes and the bandwidth of its link in bits per second.
 TransferLimits transferLimitsFor(size_t memoryBytes, double linkBitsPerSecond) noexcept;
 
+// Limits for responses of the store and of peers. Not paced: a configuration is one large message of them, and all
+// requests depend on its arrival.
+TransferLimits internalTransferLimitsFor(size_t memoryBytes) noexcept;
+
 // Bounds the memory and the bandwidth that message bodies take, so that peers that send bytes without end do not
 // exhaust the instance. The first `unreservedBytes` of each message are exempt: ordinary messages are neither refused
 // nor delayed because of large ones. Outlives its reservations; used by one thread.
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -121,7 +121,7 @@
     , shiftLimiter(this->clock)
     , loadExchange(this->clock, this->settings, this->fleet, this->shiftLimiter, this->membership)
     , requestBudget(transferLimitsFor(this->settings.memoryBytes, this->settings.linkMegabitsPerSecond * 1e6))
-    , peerBudget(transferLimitsFor(this->settings.memoryBytes, this->settings.linkMegabitsPerSecond * 1e6))
+    , peerBudget(internalTransferLimitsFor(this->settings.memoryBytes))
     , serverConnections(context, serverIdleTimeout, serverTcpUserTimeoutMs, this->requestBudget)
     , peerConnections(context, peerIdleTimeout, peerTcpUserTimeoutMs, this->peerBudget)
     , clusterState(context, this->clock, this->settings, store, codec, this->fleet, this->membership,
@@ -130,9 +130,9 @@
           this->shiftLimiter, this->membership, this->serverConnections, this->metrics, this->log })
     , localHandler(std::make_unique<LocalHandler>(*this))
     , callerListener(context, this->forwarder, this->requestBudget)
-    , lookupListener(context, *this->localHandler, this->peerBudget)
-    , readinessListener(context, *this->localHandler, this->peerBudget)
-    , peerListener(context, *this->localHandler, this->peerBudget)
+    , lookupListener(context, *this->localHandler, this->localRequestBudget)
+    , readinessListener(context, *this->localHandler, this->localRequestBudget)
+    , peerListener(context, *this->localHandler, this->localRequestBudget)
     , datagramSocket(context)
     , signalSet(context, SIGTERM, SIGINT, SIGHUP)
 {
--- a/src/edge/src/TransferBudget.cpp
+++ b/src/edge/src/TransferBudget.cpp
@@ -23,6 +23,11 @@
         linkBitsPerSecond / 8 * largeMessageLinkRatio };
 }
 
+TransferLimits internalTransferLimitsFor(size_t memoryBytes) noexcept
+{
+    return { memoryBytes / messageMemoryDivisor, memoryBytes / totalMemoryDivisor, 0 };
+}
+
 TransferBudget::Reservation::Reservation(TransferBudget& budget) noexcept
     : budget(budget)
 {
