--- a/src/command/src/runEdge.cpp
+++ b/src/command/src/runEdge.cpp
@@ -44,8 +44,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     // One thread: the instances have a part of one core, and nothing then needs a lock.
     edge::asio::io_context context(1);
-    platform::PlatformStore store(context, settings.value().storeAddress,
-        edge::internalTransferLimitsFor(settings.value().memoryBytes));
+    platform::PlatformStore store(
+        context, settings.value().storeAddress, edge::internalTransferLimitsFor(settings.value().memoryBytes));
     const platform::PlatformCodec codec;
     edge::EdgeNode node(
         context, settings.value(), readSettings, platform::headerNames(), platform::edgePaths(), store, codec);
--- a/src/edge/src/ClusterStateCache.cpp
+++ b/src/edge/src/ClusterStateCache.cpp
@@ -44,6 +44,8 @@
 constexpr int64_t maximumFirstStartWaitMs = 1500;
 constexpr int initialListCount = 6;
 constexpr int64_t peerTimeoutMs = 600;
+// Longest pause within a response of a peer, which may be large and its link slow.
+constexpr Milliseconds maximumPeerStall(600);
 // Longest wait for an update after a pause. A call to a peer or to the store of another region takes about 110 ms;
 // while neither answers, requests are forwarded with the stale copy.
 constexpr Milliseconds maximumRefreshTime(500);
@@ -350,6 +352,7 @@
     const SteadyTime requestedAt = this->clock.now();
     call->deadline = requestedAt + Milliseconds(peerTimeoutMs);
     call->connectDeadline = call->deadline;
+    call->maximumStall = maximumPeerStall;
     const Endpoint peer { address, this->settings.stateAddress.port };
     const CallOutcome end = co_await this->peerConnections.execute(call, peer);
     if (end != CallOutcome::Answered || call->response.result_int() != 200)
--- a/src/edge/src/HttpConnectionPool.cpp
+++ b/src/edge/src/HttpConnectionPool.cpp
@@ -21,6 +21,9 @@
 constexpr uint32_t maximumResponseHeadBytes = 16'384;
 // An idle connection expires this long before the server's Keep-Alive timeout, at which the server closes it.
 constexpr Milliseconds keepAliveMargin(700);
+// Bytes of a body whose arrival counts as progress of the call. With less in `Call::maximumStall`, a response that
+// trickles is given up.
+constexpr size_t minimumProgressBytes = 16'384;
 // Connect timeout of connections that are opened ahead of requests.
 constexpr Milliseconds preconnectTimeout(1000);
 
@@ -170,9 +173,18 @@
     error_code failure;
     co_await http::async_read_header(
         connection->socket, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+    size_t unreportedBytes = 0;
+    const std::function<void(size_t)> moveDeadline = [&](size_t bytes) {
+        unreportedBytes += bytes;
+        if (call->maximumStall <= Milliseconds(0) || unreportedBytes < minimumProgressBytes)
+            return;
+        unreportedBytes = 0;
+        call->deadline = std::max(call->deadline, BootTimeClock::now() + call->maximumStall);
+        connection->armTimer(call->deadline);
+    };
     if (!failure)
-        co_await readBody(
-            connection->socket, connection->buffer, parser, *call->responseMemory, call->deadline, failure);
+        co_await readBody(connection->socket, connection->buffer, parser, *call->responseMemory, call->deadline,
+            failure, moveDeadline);
     if (failure == http::error::header_limit || failure == http::error::body_limit
         || failure == http::error::buffer_overflow)
         co_return CallOutcome::TooLarge;
