Peers fetch changed operator items apart from the state, compressed

Callers of grown deployments got 404 for routes that exist; requests with homes reached servers of other regions and evacuations came late at the same time.

Cause: a peer that polled the state got all operator items whole whenever any of them had changed, as an escaped JSON string in the response that also carries the server records and confirms that a copy is current. The size of the configuration decided whether any of these arrived in time, and an evacuation of 30 bytes sent 1.2 MB to each peer again. Without a confirmation all instances turned to the store at once.

The state names revision and hash, and holds the items that changed since the peer's revision while they are small. Larger changes are fetched with a call of their own, compressed by zlib and encoded once for all peers that ask for the same change; meanwhile the state goes on and the store is not asked. If the changes do not lead to the hash of the sender, all items are fetched.

--- a/src/edge/include/wagtailrack/edge/ClusterStateCache.h
+++ b/src/edge/include/wagtailrack/edge/ClusterStateCache.h
@@ -10,6 +10,8 @@
 
 #include <wagtailrack/process/Metrics.h>
 
+#include <json/value.h>
+
 #include <cstdint>
 #include <map>
 #include <set>
@@ -48,9 +50,17 @@
     bool isRefreshingAfterPause() const;
     bool isReady() const noexcept { return this->activeRoutingTable != nullptr && this->hasServerRecords; }
 
-    // The state as JSON, for a peer. Leaves out the operator items if the peer's copy has the same hash, and the server
-    // records that have not changed since the peer's revision.
-    std::string encodeStateForPeer(uint64_t peerOperatorItemsHash, int64_t peerServerRecordsRevision) const;
+    // What a peer knows already: sent with its requests.
+    struct PeerCopy {
+        uint64_t operatorItemsHash = 0;
+        int64_t operatorItemsRevision = 0;
+        int64_t serverRecordsRevision = 0;
+    };
+    // The state as JSON, for a peer. Leaves out the operator items if the peer's copy has the same hash or if the
+    // changed items are large, and the server records that have not changed since the peer's revision.
+    std::string encodeStateForPeer(const PeerCopy& copy) const;
+    // The operator items that have changed since a revision as JSON, compressed. Empty if none is known.
+    std::string encodeOperatorItemsForPeer(int64_t peerOperatorItemsRevision);
 
 private:
     asio::awaitable<void> syncOperatorItems();
@@ -61,6 +71,18 @@
     asio::awaitable<bool> readOperatorItems();
     asio::awaitable<bool> readServerRecords();
     asio::awaitable<bool> fetchStateFromPeer(std::string address);
+    // Revision of the store and time of the read up to which a peer's copy is current.
+    struct Currency {
+        int64_t revision = 0;
+        SteadyTime readAt;
+    };
+    void startOperatorItemsFetch(const std::string& address, Currency currency);
+    asio::awaitable<void> fetchOperatorItemsFromPeer(std::string address, Currency currency);
+    // The response body; empty unless the peer answered with status 200.
+    asio::awaitable<std::string> callPeer(std::string address, std::string target);
+    bool applyOperatorItemsFromPeer(const Json::Value& section, Currency currency, const std::string& address);
+    Json::Value changedOperatorItems(int64_t sinceRevision) const;
+    void describeOperatorItems(Json::Value& section, const Json::Value& changedItems) const;
     asio::awaitable<void> sleep(int64_t milliseconds);
 
     void applyOperatorItems(
@@ -107,6 +129,14 @@
     // A watch is pending at the store, which would report a change: the operator items are up to date.
     bool isWatching = false;
     int64_t refusedConfigurationRevision = -1;
+    // A fetch of large operator items from a peer is in progress. It makes progress or ends, so that the items are
+    // not requested from other peers or the store meanwhile.
+    bool isFetchingOperatorItems = false;
+    // Set when the changes since the own revision did not lead to the peer's items: the next fetch asks for all items.
+    bool needsAllOperatorItems = false;
+    // The last response to peers and a hash of the items in it: the peers of a region ask for the same change.
+    std::string encodedOperatorItems;
+    uint64_t encodedOperatorItemsKey = 0;
 
     // A record, and the store revision at which it was last seen to differ in more than its sequence number and its
     // remaining cold time.
--- a/src/edge/src/ClusterStateCache.cpp
+++ b/src/edge/src/ClusterStateCache.cpp
@@ -1,5 +1,6 @@
 #include <wagtailrack/edge/ClusterStateCache.h>
 
+#include <wagtailrack/edge/Compression.h>
 #include <wagtailrack/edge/superviseTask.h>
 
 #include <wagtailrack/base/Hash.h>
@@ -49,6 +50,11 @@
 // Longest wait for an update after a pause. A call to a peer or to the store of another region takes about 110 ms;
 // while neither answers, requests are forwarded with the stale copy.
 constexpr Milliseconds maximumRefreshTime(500);
+// Changed operator items up to this size are part of the state that peers poll. Larger ones are fetched apart from it,
+// so that they hold up neither the server records nor the confirmation that a copy is current.
+constexpr size_t maximumInlineBytes = 16'384;
+// Largest response of a peer after decompression: a configuration of 1 MB as an escaped JSON string, and other items.
+constexpr size_t maximumPeerMessageBytes = 4'194'304;
 // Removed records that are kept to be reported to peers; bounds the memory.
 constexpr size_t maximumRemovedServerRecords = 4000;
 
@@ -59,6 +65,13 @@
 
 std::string toDottedDecimal(uint32_t address) { return asio::ip::address_v4(address).to_string(); }
 
+std::string encodeJson(const Json::Value& value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
 Json::Value toJson(const StoreItem& item)
 {
     Json::Value value;
@@ -68,6 +81,15 @@
     return value;
 }
 
+// Hash of the keys and their revisions.
+uint64_t hashOf(const std::map<std::string, StoreItem>& items)
+{
+    uint64_t hash = 1;
+    for (const auto& [key, item] : items)
+        hash = hash64(key, hash ^ static_cast<uint64_t>(item.modificationRevision));
+    return hash;
+}
+
 // Reads the items of a peer's response. Fails with AnswerInvalid.
 Result<std::vector<StoreItem>> parseItems(const Json::Value& list, const std::string& place)
 {
@@ -270,7 +292,8 @@
     while (true) {
         const int64_t ageMs = this->operatorItemsAgeMs();
         if (this->isWaitingForPeers()
-            || (!this->isRegionStoreReader() && this->activeRoutingTable && ageMs < storeFallbackAgeMs)) {
+            || (!this->isRegionStoreReader() && this->activeRoutingTable
+                && (ageMs < storeFallbackAgeMs || this->isFetchingOperatorItems))) {
             co_await this->sleep(ageCheckIntervalMs);
             continue;
         }
@@ -337,27 +360,94 @@
     }
 }
 
-asio::awaitable<bool> ClusterStateCache::fetchStateFromPeer(std::string address)
+asio::awaitable<std::string> ClusterStateCache::callPeer(std::string address, std::string target)
 {
     const auto call = std::make_shared<Call>();
-    call->request = HttpRequest(http::verb::get,
-        "/state?operator=" + std::to_string(this->operatorItemsHash)
-            + "&servers=" + std::to_string(this->serverRecordsRevision),
-        11);
+    call->request = HttpRequest(http::verb::get, target, 11);
     call->request.set(http::field::host, address);
     call->echoHeader = peerCallHeader;
     call->echoValue = std::to_string(++this->peerCallCounter);
     call->request.set(call->echoHeader, call->echoValue);
-    const int64_t requestedRevision = this->serverRecordsRevision;
-    const SteadyTime requestedAt = this->clock.now();
-    call->deadline = requestedAt + Milliseconds(peerTimeoutMs);
+    call->deadline = this->clock.now() + Milliseconds(peerTimeoutMs);
     call->connectDeadline = call->deadline;
     call->maximumStall = maximumPeerStall;
     const Endpoint peer { address, this->settings.stateAddress.port };
-    const CallOutcome end = co_await this->peerConnections.execute(call, peer);
-    if (end != CallOutcome::Answered || call->response.result_int() != 200)
+    const CallOutcome outcome = co_await this->peerConnections.execute(call, peer);
+    const bool isAnswered = outcome == CallOutcome::Answered && call->response.result_int() == 200;
+    co_return isAnswered ? std::move(call->response.body()) : std::string();
+}
+
+bool ClusterStateCache::applyOperatorItemsFromPeer(
+    const Json::Value& section, Currency currency, const std::string& address)
+{
+    if (!section["hash"].isUInt64() || !section["keys"].isArray())
+        return false;
+    if (currency.revision <= this->operatorItemsRevision)
+        return true;
+    Result<std::vector<StoreItem>> changed = parseItems(section["items"], address);
+    if (!changed)
+        return false;
+    std::map<std::string, StoreItem> items;
+    for (const Json::Value& key : section["keys"]) {
+        const auto known = key.isString() ? this->operatorItems.find(key.asString()) : this->operatorItems.end();
+        if (known != this->operatorItems.end())
+            items.insert(*known);
+    }
+    for (StoreItem& item : changed.value())
+        items[item.key] = std::move(item);
+    // The changes are relative to the copy of the request, which may have been replaced meanwhile.
+    this->needsAllOperatorItems = hashOf(items) != section["hash"].asUInt64();
+    if (this->needsAllOperatorItems)
+        return false;
+    this->applyOperatorItems(std::move(items), currency.revision, currency.readAt, "peer");
+    return true;
+}
+
+void ClusterStateCache::startOperatorItemsFetch(const std::string& address, Currency currency)
+{
+    if (this->isFetchingOperatorItems)
+        return;
+    this->isFetchingOperatorItems = true;
+    asio::co_spawn(
+        this->context, [this, address, currency] { return this->fetchOperatorItemsFromPeer(address, currency); },
+        [this](const std::exception_ptr& exception) {
+            this->isFetchingOperatorItems = false;
+            if (exception)
+                this->log.write(LogCategory::ProcessState, "task-failed", { { "task", "operator-items-fetch" } });
+        });
+}
+
+asio::awaitable<void> ClusterStateCache::fetchOperatorItemsFromPeer(std::string address, Currency currency)
+{
+    const SteadyTime requestedAt = this->clock.now();
+    const int64_t since = this->needsAllOperatorItems ? 0 : this->operatorItemsRevision;
+    const std::string target = "/operator-items?since=" + std::to_string(since);
+    const std::string body = co_await this->callPeer(address, target);
+    const Result<std::string> text = decompress(body, maximumPeerMessageBytes);
+    const Result<Json::Value> section
+        = text ? version::parseJson(text.value(), address) : Result<Json::Value>(text.error());
+    const bool isApplied
+        = section && section.value().isObject() && this->applyOperatorItemsFromPeer(section.value(), currency, address);
+    this->log.write(LogCategory::ProcessState, "operator-items-fetched",
+        { { "peer", address }, { "since", since }, { "bytes", static_cast<uint64_t>(body.size()) },
+            { "ms", millisecondsBetween(requestedAt, this->clock.now()) },
+            { "outcome",
+                isApplied          ? "applied"
+                    : body.empty() ? "no-answer"
+                                   : "refused" } });
+}
+
+asio::awaitable<bool> ClusterStateCache::fetchStateFromPeer(std::string address)
+{
+    const int64_t requestedRevision = this->serverRecordsRevision;
+    const SteadyTime requestedAt = this->clock.now();
+    const std::string target = "/state?operator=" + std::to_string(this->operatorItemsHash)
+        + "&operatorRevision=" + std::to_string(this->needsAllOperatorItems ? 0 : this->operatorItemsRevision)
+        + "&servers=" + std::to_string(this->serverRecordsRevision);
+    const std::string body = co_await this->callPeer(address, target);
+    if (body.empty())
         co_return false;
-    const Result<Json::Value> answer = version::parseJson(call->response.body(), address);
+    const Result<Json::Value> answer = version::parseJson(body, address);
     if (!answer || !answer.value().isObject()) {
         this->log.write(LogCategory::ProcessState, "peer-answer-invalid", { { "peer", address } });
         co_return false;
@@ -373,13 +463,11 @@
             this->operatorItemsRevision = revision;
             this->operatorItemsReadAt = std::max(this->operatorItemsReadAt, readAt(operatorSection));
         } else if (revision > this->operatorItemsRevision) {
-            Result<std::vector<StoreItem>> items = parseItems(operatorSection["items"], address);
-            if (items) {
-                std::map<std::string, StoreItem> byKey;
-                for (StoreItem& item : items.value())
-                    byKey[item.key] = std::move(item);
-                this->applyOperatorItems(std::move(byKey), revision, readAt(operatorSection), "peer");
-            }
+            const Currency currency { revision, readAt(operatorSection) };
+            if (operatorSection.isMember("items"))
+                this->applyOperatorItemsFromPeer(operatorSection, currency, address);
+            else
+                this->startOperatorItemsFetch(address, currency);
         }
     }
     const Json::Value& serversSection = answer.value()["servers"];
@@ -454,10 +542,8 @@
     constexpr int64_t coldAfterEvacuationMs = 3000;
     this->fleet.setEvacuatedDomains(std::move(evacuated), coldAfterEvacuationMs);
     this->operatorItems = std::move(items);
-    this->operatorItemsHash = 1;
-    for (const auto& [key, item] : this->operatorItems)
-        this->operatorItemsHash
-            = hash64(key, this->operatorItemsHash ^ static_cast<uint64_t>(item.modificationRevision));
+    this->operatorItemsHash = hashOf(this->operatorItems);
+    this->needsAllOperatorItems = false;
 }
 
 bool ClusterStateCache::updateServerRecord(StoreItem item, int64_t revision)
@@ -595,8 +681,42 @@
         this->log.write(LogCategory::ProcessState, "lease-not-ended", { { "reason", describe(ended.error()) } });
 }
 
-std::string ClusterStateCache::encodeStateForPeer(
-    uint64_t peerOperatorItemsHash, int64_t peerServerRecordsRevision) const
+Json::Value ClusterStateCache::changedOperatorItems(int64_t sinceRevision) const
+{
+    Json::Value items(Json::arrayValue);
+    for (const auto& [key, item] : this->operatorItems) {
+        if (item.modificationRevision > sinceRevision)
+            items.append(toJson(item));
+    }
+    return items;
+}
+
+void ClusterStateCache::describeOperatorItems(Json::Value& section, const Json::Value& changedItems) const
+{
+    section["hash"] = static_cast<Json::UInt64>(this->operatorItemsHash);
+    section["items"] = changedItems;
+    section["keys"] = Json::Value(Json::arrayValue);
+    for (const auto& [key, item] : this->operatorItems)
+        section["keys"].append(key);
+}
+
+std::string ClusterStateCache::encodeOperatorItemsForPeer(int64_t peerOperatorItemsRevision)
+{
+    if (this->operatorItemsRevision < 0)
+        return {};
+    uint64_t key = this->operatorItemsHash;
+    for (const auto& [name, item] : this->operatorItems)
+        key = hash64(item.modificationRevision > peerOperatorItemsRevision ? "1" : "0", key);
+    if (key != this->encodedOperatorItemsKey) {
+        Json::Value section;
+        this->describeOperatorItems(section, this->changedOperatorItems(peerOperatorItemsRevision));
+        this->encodedOperatorItems = compress(encodeJson(section));
+        this->encodedOperatorItemsKey = key;
+    }
+    return this->encodedOperatorItems;
+}
+
+std::string ClusterStateCache::encodeStateForPeer(const PeerCopy& copy) const
 {
     const SteadyTime now = this->clock.now();
     // An object even while nothing is known yet, so that peers do not take the response for a malformed one.
@@ -606,32 +726,30 @@
         section["revision"] = static_cast<Json::Int64>(this->operatorItemsRevision);
         section["hash"] = static_cast<Json::UInt64>(this->operatorItemsHash);
         section["ageMs"] = static_cast<Json::Int64>(this->operatorItemsAgeMs());
-        if (this->operatorItemsHash != peerOperatorItemsHash) {
-            section["items"] = Json::Value(Json::arrayValue);
-            for (const auto& [key, item] : this->operatorItems)
-                section["items"].append(toJson(item));
-        }
+        size_t changedBytes = 0;
+        for (const auto& [key, item] : this->operatorItems)
+            changedBytes += item.modificationRevision > copy.operatorItemsRevision ? item.value.size() : 0;
+        if (this->operatorItemsHash != copy.operatorItemsHash && changedBytes <= maximumInlineBytes)
+            this->describeOperatorItems(section, this->changedOperatorItems(copy.operatorItemsRevision));
     }
     if (this->hasServerRecords) {
         Json::Value& section = state["servers"];
-        const bool isFullListing = peerServerRecordsRevision < this->changeHistoryStartRevision;
+        const bool isFullListing = copy.serverRecordsRevision < this->changeHistoryStartRevision;
         section["revision"] = static_cast<Json::Int64>(this->serverRecordsRevision);
         section["ageMs"] = static_cast<Json::Int64>(millisecondsBetween(this->serverRecordsReadAt, now));
         section["whole"] = isFullListing;
         section["items"] = Json::Value(Json::arrayValue);
         section["removed"] = Json::Value(Json::arrayValue);
         for (const auto& [key, entry] : this->serverRecords) {
-            if (isFullListing || entry.changedRevision > peerServerRecordsRevision)
+            if (isFullListing || entry.changedRevision > copy.serverRecordsRevision)
                 section["items"].append(toJson(entry.item));
         }
         for (const auto& [key, revision] : this->removedServerRevisions) {
-            if (!isFullListing && revision > peerServerRecordsRevision)
+            if (!isFullListing && revision > copy.serverRecordsRevision)
                 section["removed"].append(key);
         }
     }
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, state);
+    return encodeJson(state);
 }
 
 }
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -243,11 +243,20 @@
     if (path == this->paths.lookup)
         return this->handleLookup(query);
     if (path == "/state") {
-        const uint64_t operatorHash = parseUnsigned(queryValue(query, "operator"));
         // A peer without a copy sends -1, which is parsed as 0, so that the peer is sent all records.
-        const auto serversRevision = static_cast<int64_t>(parseUnsigned(queryValue(query, "servers")));
-        HttpResponse response
-            = makeResponse(http::status::ok, this->clusterState.encodeStateForPeer(operatorHash, serversRevision));
+        const ClusterStateCache::PeerCopy copy { parseUnsigned(queryValue(query, "operator")),
+            static_cast<int64_t>(parseUnsigned(queryValue(query, "operatorRevision"))),
+            static_cast<int64_t>(parseUnsigned(queryValue(query, "servers"))) };
+        HttpResponse response = makeResponse(http::status::ok, this->clusterState.encodeStateForPeer(copy));
+        response.set(peerCallHeader, headerValue(request.base(), peerCallHeader));
+        return response;
+    }
+    if (path == "/operator-items") {
+        const auto since = static_cast<int64_t>(parseUnsigned(queryValue(query, "since")));
+        std::string items = this->clusterState.encodeOperatorItemsForPeer(since);
+        const http::status status = items.empty() ? http::status::service_unavailable : http::status::ok;
+        HttpResponse response = makeResponse(status, std::move(items));
+        response.set(http::field::content_encoding, "deflate");
         response.set(peerCallHeader, headerValue(request.base(), peerCallHeader));
         return response;
     }
