Benchmark of large configurations: decoding, route look-ups, base64

`wagtailrack-microbench configuration` measures it with 22 routes, 1,422 and 4,400, the latter near the largest value of the store, 1 MiB, all on one host.

--- a/bench/src/Benchmark.h
+++ b/bench/src/Benchmark.h
@@ -17,6 +17,7 @@
 void runShares();
 void runGate();
 void runExperiment();
+void runConfiguration();
 
 // Seconds that `work` takes.
 template <typename Work> double secondsOf(Work work)
--- a/bench/src/main.cpp
+++ b/bench/src/main.cpp
@@ -12,6 +12,7 @@
     { "shares", "slot shares at different numbers of members", &runShares },
     { "gate", "admissions of the shift gate a second", &runGate },
     { "experiment", "three strategies on six failure domains, decisions only", &runExperiment },
+    { "configuration", "decoding and route look-ups at different numbers of routes; base64", &runConfiguration },
 };
 
 int main(int argumentCount, char** arguments)
@@ -24,6 +25,6 @@
     }
     std::fprintf(stderr, "usage: wagtailrack-microbench SUBCOMMAND\n");
     for (const Benchmark& benchmark : benchmarks)
-        std::fprintf(stderr, "  %-12s %s\n", benchmark.name, benchmark.summary);
+        std::fprintf(stderr, "  %-14s %s\n", benchmark.name, benchmark.summary);
     return 2;
 }
