Logs and metrics tell the causes of a 3xx or 4xx apart

- A request that ended while it was read (400, 413, 431, 503 for lack of memory) left no line, id, reason or counter.
The session now reports it to the handler, which writes event=request-refused with id, host, path prefix, version and age of the configuration, status, typed outcome, the parser's error, bytes read and the limits in force, and counts it in wagtailrack_requests_total.
CallerLimits name the version that set them.
- event=request told neither the age of the copy of the configuration nor whether a server made the response: configuration_age_ms, sealed, and for no-route host and path_prefix.
- wagtailrack_responses_total counts by status and origin, and gauges show version, age and number of routes of the active configuration.

Lines stay within the limit for lines of requests; hosts and paths in them are cut.

--- a/src/edge/include/wagtailrack/edge/CallerSession.h
+++ b/src/edge/include/wagtailrack/edge/CallerSession.h
@@ -33,6 +33,31 @@
 
 using ExchangePointer = std::shared_ptr<Exchange>;
 
+enum class RefusalReason {
+    Malformed,
+    HeaderTooLarge,
+    BodyTooLarge,
+    // The memory for the bodies of messages is in use.
+    MemoryFull,
+};
+
+const char* toString(RefusalReason reason) noexcept;
+
+// A request that was not read to its end, and is answered without being handled.
+struct RefusedRequest {
+    RefusalReason reason;
+    // Text of the parser's error.
+    std::string error;
+    // The header fields that were read before the error.
+    const http::fields& fields;
+    // Path and query; empty if the first line was not read.
+    std::string target;
+    // Includes what arrived after the place of the error.
+    size_t bytesRead = 0;
+    // The limits that applied to the request.
+    CallerLimits limits;
+};
+
 // Handles the requests that a CallerListener receives.
 class RequestHandler {
 public:
@@ -43,6 +68,8 @@
     virtual asio::awaitable<void> handle(ExchangePointer exchange) = 0;
     virtual bool canHandleConcurrently(const HttpRequest& request) const = 0;
     virtual CallerLimits limits() const = 0;
+    // Records a request that was refused before it could be handled. `response` is what the caller is sent.
+    virtual void handleRefusedRequest(const RefusedRequest& /* refused */, HttpResponse& /* response */) { }
     // Whether responses carry "Connection: close".
     virtual bool shouldCloseConnections() const = 0;
 };
@@ -63,6 +90,7 @@
     asio::awaitable<void> readRequests();
     asio::awaitable<void> writeResponses();
     asio::awaitable<void> handleExchange(ExchangePointer exchange);
+    void refuseRequest(Exchange& exchange, const RefusedRequest& refused);
     void armReadTimer(SteadyTime deadline);
     void notifyStateChanged();
     void handleCallerDisconnect();
--- a/src/edge/include/wagtailrack/edge/ClusterStateCache.h
+++ b/src/edge/include/wagtailrack/edge/ClusterStateCache.h
@@ -43,6 +43,7 @@
     RoutingTablePointer routingTable() const noexcept { return this->activeRoutingTable; }
     // Time since the server records were read from the store, by this instance or by the peer that passed them on.
     int64_t serverRecordsAgeMs() const;
+    int64_t configurationAgeMs() const { return this->operatorItemsAgeMs(); }
     // Returns true for a short time after a pause of the process in which the copy has become stale: servers may have
     // left and failure domains may have been evacuated meanwhile, so that requests should wait for the next update.
     bool isRefreshingAfterPause() const;
--- a/src/edge/include/wagtailrack/edge/EventLog.h
+++ b/src/edge/include/wagtailrack/edge/EventLog.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -42,7 +43,11 @@
 
     EventLog(const Clock& clock, std::string instance, int descriptor);
 
-    void write(LogCategory importance, const char* event, std::initializer_list<LogField> fields);
+    void write(LogCategory importance, const char* event, std::initializer_list<LogField> fields)
+    {
+        this->write(importance, event, std::span(fields.begin(), fields.size()));
+    }
+    void write(LogCategory importance, const char* event, std::span<const LogField> fields);
     // Writes buffered lines until none is left or the next write would block.
     void flush();
     uint64_t droppedLineCount() const noexcept { return this->totalDroppedLines; }
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -43,6 +43,7 @@
     asio::awaitable<void> handle(ExchangePointer exchange) override;
     bool canHandleConcurrently(const HttpRequest& request) const override;
     CallerLimits limits() const override;
+    void handleRefusedRequest(const RefusedRequest& refused, HttpResponse& response) override;
     bool shouldCloseConnections() const override { return this->isDraining; }
 
     // From now on connections are closed after a response. Requests that arrive at `acceptUntil` or later are rejected,
@@ -79,6 +80,8 @@
         double lastAttemptDurationMs = 0;
         std::string lastServerId;
         std::string lastCallOutcome;
+        // Whether the response is one of a server, not one that this instance made.
+        bool isServerResponse = false;
         // Set when the request ends; label of the metrics and field of the event log.
         const char* outcome = "";
     };
@@ -107,6 +110,10 @@
     void respondWithError(ForwardingState& state, http::status status, const char* reason);
     void forwardResponse(ForwardingState& state, HttpResponse response, const char* outcome);
     void recordCompletion(const ForwardingState& state);
+    // `origin` is "instance" for a response that this instance made, and "server" for one of a server.
+    void countResponse(unsigned status, const char* origin);
+    // Age of the copy of the configuration; -1 while no configuration is known.
+    int64_t configurationAgeMs() const;
     std::string chooseService(const RouteRule& rule);
     ProcessingTimeEstimate& processingTimeOf(const RouteRule& rule);
     void updateInstanceCounts();
--- a/src/edge/include/wagtailrack/edge/RoutingTable.h
+++ b/src/edge/include/wagtailrack/edge/RoutingTable.h
@@ -61,6 +61,8 @@
     int64_t maxBodyBytes = 1'048'576;
     int64_t headerTimeoutMs = 3000;
     int64_t idleTimeoutMs = 15000;
+    // Version of the configuration that sets the limits; 0 for the built-in ones.
+    uint64_t configurationVersion = 0;
 
     friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
 };
--- a/src/edge/src/CallerSession.cpp
+++ b/src/edge/src/CallerSession.cpp
@@ -24,6 +24,47 @@
 // Delay after accept() fails, as it does when the process is out of file descriptors.
 constexpr Milliseconds acceptRetryDelay(20);
 
+RefusalReason refusalReasonFor(error_code failure)
+{
+    if (failure == http::error::header_limit)
+        return RefusalReason::HeaderTooLarge;
+    if (failure == http::error::body_limit)
+        return RefusalReason::BodyTooLarge;
+    if (failure == http::error::buffer_overflow)
+        return RefusalReason::MemoryFull;
+    return RefusalReason::Malformed;
+}
+
+http::status statusFor(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::HeaderTooLarge:
+        return http::status::request_header_fields_too_large;
+    case RefusalReason::BodyTooLarge:
+        return http::status::payload_too_large;
+    case RefusalReason::MemoryFull:
+        return http::status::service_unavailable;
+    case RefusalReason::Malformed:
+        break;
+    }
+    return http::status::bad_request;
+}
+
+}
+
+const char* toString(RefusalReason reason) noexcept
+{
+    switch (reason) {
+    case RefusalReason::HeaderTooLarge:
+        return "header-too-large";
+    case RefusalReason::BodyTooLarge:
+        return "body-too-large";
+    case RefusalReason::MemoryFull:
+        return "memory-full";
+    case RefusalReason::Malformed:
+        break;
+    }
+    return "malformed";
 }
 
 CallerSession::CallerSession(
@@ -106,7 +147,7 @@
         parser.header_limit(static_cast<uint32_t>(limits.maxHeaderBytes));
         parser.body_limit(static_cast<uint64_t>(limits.maxBodyBytes));
         this->armReadTimer(BootTimeClock::now() + Milliseconds(limits.idleTimeoutMs));
-        co_await http::async_read_header(
+        const size_t headerBytes = co_await http::async_read_header(
             this->socket, this->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
         const auto requestMemory = std::make_shared<TransferBudget::Reservation>(this->listener.budget);
         if (!failure && !parser.is_done()) {
@@ -116,7 +157,6 @@
         }
         if (!this->isOpen)
             co_return;
-        const bool isMemoryFull = failure == http::error::buffer_overflow;
         const bool isMalformed = failure && failure != http::error::end_of_stream
             && failure != http::error::partial_message
             && failure.category() == http::make_error_code(http::error::end_of_stream).category();
@@ -129,18 +169,11 @@
         const bool isFirst = this->pendingExchanges.empty();
         this->pendingExchanges.push_back(exchange);
         if (isMalformed) {
-            http::status status = http::status::bad_request;
-            if (failure == http::error::body_limit)
-                status = http::status::payload_too_large;
-            if (isMemoryFull)
-                status = http::status::service_unavailable;
-            if (failure == http::error::header_limit)
-                status = http::status::request_header_fields_too_large;
-            exchange->response
-                = makeResponse(status, failure.message() + "\n", isMemoryFull ? memoryFullRetryAfterSeconds : -1);
-            exchange->response.keep_alive(false);
-            exchange->isResponseReady = true;
-            this->notifyStateChanged();
+            const HttpRequest& partialRequest = parser.get();
+            const size_t bytesRead = headerBytes + partialRequest.body().size() + this->buffer.size();
+            const RefusedRequest refused { refusalReasonFor(failure), failure.message(), partialRequest.base(),
+                std::string(partialRequest.target()), bytesRead, limits };
+            this->refuseRequest(*exchange, refused);
             co_return;
         }
         exchange->request = parser.release();
@@ -152,6 +185,17 @@
     }
 }
 
+void CallerSession::refuseRequest(Exchange& exchange, const RefusedRequest& refused)
+{
+    const bool isMemoryFull = refused.reason == RefusalReason::MemoryFull;
+    exchange.response = makeResponse(
+        statusFor(refused.reason), refused.error + "\n", isMemoryFull ? memoryFullRetryAfterSeconds : -1);
+    this->handler.handleRefusedRequest(refused, exchange.response);
+    exchange.response.keep_alive(false);
+    exchange.isResponseReady = true;
+    this->notifyStateChanged();
+}
+
 asio::awaitable<void> CallerSession::handleExchange(ExchangePointer exchange)
 {
     const auto self = this->shared_from_this();
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -254,6 +254,14 @@
     if (path == "/metrics") {
         this->metrics.setGauge(
             "wagtailrack_servers_age_seconds", "", static_cast<double>(this->clusterState.serverRecordsAgeMs()) / 1000);
+        const RoutingTablePointer table = this->clusterState.routingTable();
+        this->metrics.setGauge(
+            "wagtailrack_configuration_version", "", table ? static_cast<double>(table->version()) : 0);
+        this->metrics.setGauge(
+            "wagtailrack_configuration_routes", "", table ? static_cast<double>(table->routeCount()) : 0);
+        if (table)
+            this->metrics.setGauge("wagtailrack_configuration_age_seconds", "",
+                static_cast<double>(this->clusterState.configurationAgeMs()) / 1000);
         this->metrics.setGauge(
             "wagtailrack_instances_alive", "", static_cast<double>(this->membership.aliveInstances().size()));
         this->metrics.setGauge(
--- a/src/edge/src/EventLog.cpp
+++ b/src/edge/src/EventLog.cpp
@@ -86,7 +86,7 @@
     return importance == LogCategory::ProcessState || this->linesInRateWindow <= maximumRequestLinesPerSecond;
 }
 
-void EventLog::write(LogCategory importance, const char* event, std::initializer_list<LogField> fields)
+void EventLog::write(LogCategory importance, const char* event, std::span<const LogField> fields)
 {
     if (!this->admitLine(importance)) {
         ++this->totalDroppedLines;
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <vector>
 
 namespace wagtailrack::edge {
 
@@ -48,6 +49,12 @@
 constexpr Milliseconds refreshCheckInterval(10);
 // Retry-After while no version of the configuration is known yet.
 constexpr double unconfiguredRetryAfterSeconds = 0.4;
+// Longest part of a host and of a path that a line of the log repeats: both are up to the caller, and the host's is the
+// longest name of the DNS.
+constexpr size_t maximumLoggedHostBytes = 253;
+constexpr size_t maximumLoggedPrefixBytes = 64;
+
+constexpr const char* noRouteOutcome = "no-route";
 
 double millisecondsSince(SteadyTime from, SteadyTime to)
 {
@@ -61,6 +68,26 @@
     return table.findRoute(headerValue(request.base(), "Host"), std::string_view(target.data(), target.size()));
 }
 
+// The host of a request and the first segment of its path, which tell the missing route of a request with 404.
+std::string hostOf(const http::fields& fields) { return headerValue(fields, "Host").substr(0, maximumLoggedHostBytes); }
+
+std::string pathPrefixOf(std::string_view target)
+{
+    target = target.substr(0, target.find('?'));
+    const size_t end = target.find('/', 1);
+    const std::string_view prefix = end == std::string_view::npos ? target : target.substr(0, end + 1);
+    return std::string(prefix.substr(0, maximumLoggedPrefixBytes));
+}
+
+// Label of a status code: the code itself, or its class if HTTP does not define it, so that servers cannot add any
+// number of series.
+std::string statusLabel(unsigned status)
+{
+    if (http::int_to_status(status) == http::status::unknown)
+        return std::to_string(status / 100) + "xx";
+    return std::to_string(status);
+}
+
 // A non-idempotent request is sent on a new connection: if the server closed an idle connection at the same time, the
 // outcome of the request would be unknown.
 ConnectionUse connectionUseFor(const RouteRule& rule)
@@ -198,6 +225,7 @@
 {
     removeHopByHopHeaders(response);
     state.exchange->response = std::move(response);
+    state.isServerResponse = true;
     state.outcome = outcome;
 }
 
@@ -218,7 +246,7 @@
     }
     const RouteRule* rule = findRule(*state.routingTable, request);
     if (!rule) {
-        this->respondWithError(state, http::status::not_found, "no-route");
+        this->respondWithError(state, http::status::not_found, noRouteOutcome);
         return false;
     }
     state.rule = *rule;
@@ -275,7 +303,7 @@
             const HttpRequest& request = state.exchange->request;
             const RouteRule* rule = findRule(*table, request);
             if (!rule) {
-                this->respondWithError(state, http::status::not_found, "no-route");
+                this->respondWithError(state, http::status::not_found, noRouteOutcome);
                 co_return;
             }
             state.rule = *rule;
@@ -521,19 +549,55 @@
     const std::string labels = "outcome=\"" + std::string(state.outcome) + "\"";
     this->dependencies.metrics.count("wagtailrack_requests_total", labels);
     this->dependencies.metrics.observeSeconds("wagtailrack_request_seconds", labels, seconds);
-    this->dependencies.log.write(LogCategory::Request, "request",
-        { { "id", state.requestId }, { "route", state.rule.name },
-            { "version", state.routingTable ? state.routingTable->version() : 0 }, { "service", state.serviceName },
-            { "server", state.lastServerId }, { "sends", state.sendCount },
-            { "connect_failures", state.connectFailureCount }, { "last_end", state.lastCallOutcome },
-            { "warm", state.lastChoice && state.lastChoice->isObjectCached ? 1 : 0 },
-            { "wait_ms", state.lastChoice ? static_cast<int64_t>(state.lastChoice->expectedWaitMs) : 0 },
-            { "work_ms", state.lastChoice ? static_cast<int64_t>(state.lastChoice->expectedProcessingMs) : 0 },
-            { "took_ms", static_cast<int64_t>(state.lastAttemptDurationMs) },
-            { "servers_age_ms", this->dependencies.clusterState.serverRecordsAgeMs() },
-            { "status", static_cast<uint64_t>(state.exchange->response.result_int()) },
-            { "ms", static_cast<int64_t>(seconds * 1000) },
-            { "left_ms", static_cast<int64_t>(this->remainingMs(state)) }, { "outcome", state.outcome } });
+    const HttpResponse& response = state.exchange->response;
+    const bool isSealed
+        = state.isServerResponse && !headerValue(response.base(), this->dependencies.headers.responseSeal).empty();
+    this->countResponse(response.result_int(), state.isServerResponse ? "server" : "instance");
+    std::vector<LogField> fields { { "id", state.requestId }, { "route", state.rule.name },
+        { "version", state.routingTable ? state.routingTable->version() : 0 },
+        { "configuration_age_ms", this->configurationAgeMs() }, { "service", state.serviceName },
+        { "server", state.lastServerId }, { "sends", state.sendCount },
+        { "connect_failures", state.connectFailureCount }, { "last_end", state.lastCallOutcome },
+        { "warm", state.lastChoice && state.lastChoice->isObjectCached ? 1 : 0 },
+        { "wait_ms", state.lastChoice ? static_cast<int64_t>(state.lastChoice->expectedWaitMs) : 0 },
+        { "work_ms", state.lastChoice ? static_cast<int64_t>(state.lastChoice->expectedProcessingMs) : 0 },
+        { "took_ms", static_cast<int64_t>(state.lastAttemptDurationMs) },
+        { "servers_age_ms", this->dependencies.clusterState.serverRecordsAgeMs() },
+        { "status", static_cast<uint64_t>(response.result_int()) }, { "sealed", isSealed ? 1 : 0 },
+        { "ms", static_cast<int64_t>(seconds * 1000) }, { "left_ms", static_cast<int64_t>(this->remainingMs(state)) },
+        { "outcome", state.outcome } };
+    if (std::string_view(state.outcome) == noRouteOutcome) {
+        const HttpRequest& request = state.exchange->request;
+        fields.emplace_back("host", hostOf(request.base()));
+        fields.emplace_back("path_prefix", pathPrefixOf(std::string(request.target())));
+    }
+    this->dependencies.log.write(LogCategory::Request, "request", fields);
+}
+
+void RequestForwarder::handleRefusedRequest(const RefusedRequest& refused, HttpResponse& response)
+{
+    const char* outcome = toString(refused.reason);
+    this->dependencies.metrics.count("wagtailrack_requests_total", "outcome=\"" + std::string(outcome) + "\"");
+    this->countResponse(response.result_int(), "instance");
+    this->dependencies.log.write(LogCategory::Request, "request-refused",
+        { { "id", headerValue(refused.fields, this->dependencies.headers.requestId) },
+            { "host", hostOf(refused.fields) }, { "path_prefix", pathPrefixOf(refused.target) },
+            { "version", refused.limits.configurationVersion }, { "configuration_age_ms", this->configurationAgeMs() },
+            { "status", static_cast<uint64_t>(response.result_int()) }, { "outcome", outcome },
+            { "error", refused.error }, { "bytes_read", static_cast<uint64_t>(refused.bytesRead) },
+            { "max_header_bytes", refused.limits.maxHeaderBytes }, { "max_body_bytes", refused.limits.maxBodyBytes } });
+}
+
+void RequestForwarder::countResponse(unsigned status, const char* origin)
+{
+    this->dependencies.metrics.count(
+        "wagtailrack_responses_total", "status=\"" + statusLabel(status) + "\",origin=\"" + std::string(origin) + "\"");
+}
+
+int64_t RequestForwarder::configurationAgeMs() const
+{
+    const ClusterStateCache& clusterState = this->dependencies.clusterState;
+    return clusterState.routingTable() ? clusterState.configurationAgeMs() : -1;
 }
 
 }
--- a/src/edge/src/RoutingTable.cpp
+++ b/src/edge/src/RoutingTable.cpp
@@ -11,6 +11,7 @@
     , routesByHost(std::move(hosts))
     , servicesByName(std::move(services))
 {
+    this->callerLimits.configurationVersion = version;
     // Longest prefix first, so that the first match is the longest one.
     for (auto& [host, rules] : this->routesByHost) {
         std::stable_sort(rules.begin(), rules.end(), [](const RouteRule& left, const RouteRule& right) {
