A redirect or an error of the caller without a server's seal is not passed on

Callers got a 302, 400, 401, 404 or 413 as if it were the server's, although it had no seal, and do not retry these.

Cause: handleResponse() asked for the seal of a 2xx only. A server's own response carries its seal; bytes without it belong to no request. Such a response now is treated like a success without a seal: an idempotent request is sent to another server, the caller of another one gets 502 outcome-unknown. Not-executed and 421 are handled before, as they were; 408, 429 and 5xx keep their path.

--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -506,9 +506,10 @@
             state.excludedServers.erase(&server);
         return this->retryOrFinish(state);
     }
-    const bool isSuccess = status >= 200 && status < 300;
+    const bool isServerFailure = status >= 500 || status == 429 || status == 408;
     const bool hasSeal = !headerValue(response.base(), headers.responseSeal).empty();
-    if (isSuccess && !hasSeal) {
+    // A success, a redirect or an error of the caller ends the request for good, so it has to be the server's own.
+    if (!isServerFailure && !hasSeal) {
         state.isPossiblyExecuted = true;
         state.lastCallOutcome = "no-seal";
         this->dependencies.fleet.endAttempt(server, AttemptOutcome::BrokenResponse);
@@ -517,7 +518,7 @@
         this->respondWithError(state, http::status::bad_gateway, "outcome-unknown");
         return NextStep::Finish;
     }
-    if (status >= 500 || status == 429 || status == 408) {
+    if (isServerFailure) {
         state.isPossiblyExecuted = true;
         this->dependencies.fleet.endAttempt(server, AttemptOutcome::ErrorResponse);
         // The caller would take these status codes as a promise that the request was not executed, which the server
