--- a/src/edge/src/RoutingTable.cpp
+++ b/src/edge/src/RoutingTable.cpp
@@ -12,6 +12,7 @@
     , routesByHost(std::move(hosts))
     , servicesByName(std::move(services))
 {
+    this->callerLimits.configurationVersion = version;
     this->indexByHost.reserve(this->routesByHost.size());
     for (const auto& [host, rules] : this->routesByHost) {
         HostIndex& index = this->indexByHost[host];
