A route that an outdated configuration lacks is refused with 503, not 404

Callers got a final 404 for routes of a version that had not reached their instance yet. They do not repeat a request after that status, although the request has not run and another instance, or the same one a moment later, would serve it.

Cause: an instance answered from its table without regard to whether the table was current.

Such a request is now rejected at once with 503 and Retry-After. 404 stays for routes that a current configuration lacks.

--- a/src/edge/include/wagtailrack/edge/ClusterStateCache.h
+++ b/src/edge/include/wagtailrack/edge/ClusterStateCache.h
@@ -46,6 +46,9 @@
     // Time since the server records were read from the store, by this instance or by the peer that passed them on.
     int64_t serverRecordsAgeMs() const;
     int64_t configurationAgeMs() const { return this->operatorItemsAgeMs(); }
+    // Whether a newer version than routingTable() may be in force: a peer has one, or neither the store nor a peer has
+    // confirmed the copy for some time. A route that is missing from the table may exist then.
+    bool isConfigurationOutdated() const;
     // Returns true for a short time after a pause of the process in which the copy has become stale: servers may have
     // left and failure domains may have been evacuated meanwhile, so that requests should wait for the next update.
     bool isRefreshingAfterPause() const;
@@ -133,6 +136,8 @@
     // A fetch of large operator items from a peer is in progress. It makes progress or ends, so that the items are
     // not requested from other peers or the store meanwhile.
     bool isFetchingOperatorItems = false;
+    // Highest revision of operator items that differ from the own copy, as peers reported them.
+    int64_t reportedOperatorItemsRevision = -1;
     // Set when the changes since the own revision did not lead to the peer's items: the next fetch asks for all items.
     bool needsAllOperatorItems = false;
     // The last response to peers and a hash of the items in it: the peers of a region ask for the same change.
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -108,6 +108,7 @@
     void recordServerLoad(BackendServer& server, const HttpResponse& response);
     void reject(ForwardingState& state, const char* reason, double retryAfterSeconds);
     void respondWithError(ForwardingState& state, http::status status, const char* reason);
+    void refuseUnknownRoute(ForwardingState& state);
     void forwardResponse(ForwardingState& state, HttpResponse response, const char* outcome);
     void recordCompletion(const ForwardingState& state);
     // `origin` is "instance" for a response that this instance made, and "server" for one of a server.
--- a/src/edge/src/ClusterStateCache.cpp
+++ b/src/edge/src/ClusterStateCache.cpp
@@ -183,6 +183,12 @@
         && this->clock.now() - this->membership.runningSince() < maximumRefreshTime;
 }
 
+bool ClusterStateCache::isConfigurationOutdated() const
+{
+    return this->reportedOperatorItemsRevision > this->operatorItemsRevision
+        || this->operatorItemsAgeMs() >= outageThresholdMs;
+}
+
 int64_t ClusterStateCache::serverRecordsAgeMs() const
 {
     return millisecondsBetween(this->serverRecordsReadAt, this->clock.now());
@@ -463,6 +469,7 @@
             this->operatorItemsRevision = revision;
             this->operatorItemsReadAt = std::max(this->operatorItemsReadAt, readAt(operatorSection));
         } else if (revision > this->operatorItemsRevision) {
+            this->reportedOperatorItemsRevision = std::max(this->reportedOperatorItemsRevision, revision);
             const Currency currency { revision, readAt(operatorSection) };
             if (operatorSection.isMember("items"))
                 this->applyOperatorItemsFromPeer(operatorSection, currency, address);
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -47,7 +47,7 @@
 constexpr Milliseconds warmCacheDuration(20000);
 // Interval at which a request checks whether the state has been updated after a pause of the process.
 constexpr Milliseconds refreshCheckInterval(10);
-// Retry-After while no version of the configuration is known yet.
+// Retry-After while no version of the configuration is known yet, or while a newer one is on its way.
 constexpr double unconfiguredRetryAfterSeconds = 0.4;
 // Longest part of a host and of a path that a line of the log repeats: both are up to the caller, and the host's is the
 // longest name of the DNS.
@@ -229,6 +229,15 @@
     state.outcome = outcome;
 }
 
+void RequestForwarder::refuseUnknownRoute(ForwardingState& state)
+{
+    // A caller does not repeat a request after 404, so that status is only for a route that no version has.
+    if (this->dependencies.clusterState.isConfigurationOutdated())
+        this->reject(state, "configuration-outdated", unconfiguredRetryAfterSeconds);
+    else
+        this->respondWithError(state, http::status::not_found, noRouteOutcome);
+}
+
 bool RequestForwarder::prepareRequest(ForwardingState& state)
 {
     const HttpRequest& request = state.exchange->request;
@@ -246,7 +255,7 @@
     }
     const RouteRule* rule = findRule(*state.routingTable, request);
     if (!rule) {
-        this->respondWithError(state, http::status::not_found, noRouteOutcome);
+        this->refuseUnknownRoute(state);
         return false;
     }
     state.rule = *rule;
@@ -303,7 +312,7 @@
             const HttpRequest& request = state.exchange->request;
             const RouteRule* rule = findRule(*table, request);
             if (!rule) {
-                this->respondWithError(state, http::status::not_found, noRouteOutcome);
+                this->refuseUnknownRoute(state);
                 co_return;
             }
             state.rule = *rule;
