Benchmark of the membership: instances that are taken for dead although they run

With more instances a heartbeat arrives later than that. In addition domainDatagram() always names the first instances of the failure domain by address, not others in turn. Nothing is changed here.

--- a/bench/src/Benchmark.h
+++ b/bench/src/Benchmark.h
@@ -18,6 +18,7 @@
 void runGate();
 void runExperiment();
 void runConfiguration();
+void runMembership();
 
 // Seconds that `work` takes.
 template <typename Work> double secondsOf(Work work)
--- a/bench/src/main.cpp
+++ b/bench/src/main.cpp
@@ -13,6 +13,7 @@
     { "gate", "admissions of the shift gate a second", &runGate },
     { "experiment", "three strategies on six failure domains, decisions only", &runExperiment },
     { "configuration", "decoding and route look-ups at different numbers of routes; base64", &runConfiguration },
+    { "membership", "gossip of instances: which of them are taken for alive, and its cost", &runMembership },
 };
 
 int main(int argumentCount, char** arguments)
