Limits on a request are those in force when it begins

A request on a connection that was idle while a newer configuration raised the limits got 413 or 431 by the old ones.

Cause: readRequests() took the limits, then waited for the request. Now it waits for the first byte and takes the limits after that. The idle timer is set before the wait, as it was.

--- a/src/edge/src/CallerSession.cpp
+++ b/src/edge/src/CallerSession.cpp
@@ -142,11 +142,21 @@
             co_await this->stateChanged.async_wait(asio::redirect_error(asio::use_awaitable, failure));
             continue;
         }
+        this->armReadTimer(BootTimeClock::now() + Milliseconds(this->handler.limits().idleTimeoutMs));
+        // The limits are read when the request begins: a newer configuration may arrive while the connection is idle.
+        if (this->buffer.size() == 0)
+            co_await this->socket.async_wait(
+                Tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, failure));
+        if (!this->isOpen)
+            co_return;
+        if (failure) {
+            this->handleCallerDisconnect();
+            co_return;
+        }
         const CallerLimits limits = this->handler.limits();
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<uint32_t>(limits.maxHeaderBytes));
         parser.body_limit(static_cast<uint64_t>(limits.maxBodyBytes));
-        this->armReadTimer(BootTimeClock::now() + Milliseconds(limits.idleTimeoutMs));
         const size_t headerBytes = co_await http::async_read_header(
             this->socket, this->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
         const auto requestMemory = std::make_shared<TransferBudget::Reservation>(this->listener.budget);
