A large request gets 503, not 413 or 431, while no configuration is known

An instance that knew no configuration yet judged requests by built-in limits and ended those above them with 413 or 431, which callers do not retry, although the configuration may allow them. Other requests got 503 no-configuration with Retry-After at that time; these now get the same.

Cause: the session answered before the handler, which knows whether there is a configuration. The handler may now replace the response. A malformed request still gets 400: no configuration allows it.

Such an instance is not ready yet, so that this is not shown to be a cause of the users' report.

--- a/src/edge/include/wagtailrack/edge/CallerSession.h
+++ b/src/edge/include/wagtailrack/edge/CallerSession.h
@@ -68,7 +68,8 @@
     virtual asio::awaitable<void> handle(ExchangePointer exchange) = 0;
     virtual bool canHandleConcurrently(const HttpRequest& request) const = 0;
     virtual CallerLimits limits() const = 0;
-    // Records a request that was refused before it could be handled. `response` is what the caller is sent.
+    // Records a request that was refused before it could be handled. `response` is what the caller is sent; the handler
+    // may replace it.
     virtual void handleRefusedRequest(const RefusedRequest& /* refused */, HttpResponse& /* response */) { }
     // Whether responses carry "Connection: close".
     virtual bool shouldCloseConnections() const = 0;
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -55,6 +55,7 @@
 constexpr size_t maximumLoggedPrefixBytes = 64;
 
 constexpr const char* noRouteOutcome = "no-route";
+constexpr const char* noConfigurationOutcome = "no-configuration";
 
 double millisecondsSince(SteadyTime from, SteadyTime to)
 {
@@ -241,7 +242,7 @@
     }
     state.routingTable = this->dependencies.clusterState.routingTable();
     if (!state.routingTable) {
-        this->reject(state, "no-configuration", unconfiguredRetryAfterSeconds);
+        this->reject(state, noConfigurationOutcome, unconfiguredRetryAfterSeconds);
         return false;
     }
     const RouteRule* rule = findRule(*state.routingTable, request);
@@ -578,6 +579,14 @@
 void RequestForwarder::handleRefusedRequest(const RefusedRequest& refused, HttpResponse& response)
 {
     const char* outcome = toString(refused.reason);
+    const bool isTooLarge
+        = refused.reason == RefusalReason::HeaderTooLarge || refused.reason == RefusalReason::BodyTooLarge;
+    // The built-in limits are not the operator's: the request may be allowed by the configuration.
+    if (isTooLarge && refused.limits.configurationVersion == 0) {
+        outcome = noConfigurationOutcome;
+        response = makeResponse(
+            http::status::service_unavailable, std::string(outcome) + "\n", unconfiguredRetryAfterSeconds);
+    }
     this->dependencies.metrics.count("wagtailrack_requests_total", "outcome=\"" + std::string(outcome) + "\"");
     this->countResponse(response.result_int(), "instance");
     this->dependencies.log.write(LogCategory::Request, "request-refused",
