--- a/src/edge/tests/CompressionTest.cpp
+++ b/src/edge/tests/CompressionTest.cpp
@@ -25,7 +25,9 @@
 // Guards against a small message of a faulty peer that fills the memory when it is decompressed.
 TEST(Compression, textAboveTheLimitIsRefused)
 {
-    const std::string bytes = compress(std::string(10'000'000, 'a'));
+    std::string text;
+    text.resize(10'000'000, 'a');
+    const std::string bytes = compress(text);
     CHECK_TRUE(bytes.size() < 100'000);
     CHECK_TRUE(decompress(bytes, 10'000'000).has_value());
     CHECK_TRUE(decompress(bytes, 9'999'999).has_error());
--- a/src/edge/tests/RoutingTableTest.cpp
+++ b/src/edge/tests/RoutingTableTest.cpp
@@ -138,7 +138,8 @@
                 path = path.substr(random() % (path.size() + 1));
             const RouteRule* expected = findLinearly(hosts, host, path);
             const RouteRule* found = indexed.findRoute(host, path);
-            const std::string text = wagtailrack::describeSeed(seed) + " host " + host + " path " + path;
+            std::string text = wagtailrack::describeSeed(seed);
+            text.append(" host ").append(host).append(" path ").append(path);
             CHECK_TEXT((found == nullptr) == (expected == nullptr), text.c_str());
             CHECK_TEXT(!found || *found == *expected, text.c_str());
         }
