--- a/bench/src/ConfigurationBenchmark.cpp
+++ b/bench/src/ConfigurationBenchmark.cpp
@@ -2,7 +2,6 @@
 
 #include <wagtailrack/platform/PlatformCodec.h>
 #include <wagtailrack/platform/PlatformStore.h>
-#include <wagtailrack/version/parseJson.h>
 
 #include <cstdio>
 #include <random>
@@ -88,17 +87,13 @@
     for (const size_t routes : routeCounts) {
         const std::string text = makeConfiguration(routes);
         const int rounds = routes < 100 ? 1000 : 20;
-        const double parsed = secondsOf([&] {
-            for (int round = 0; round < rounds; ++round)
-                (void)version::parseJson(text, "bench");
-        });
         size_t decodedRoutes = 0;
         const double decoded = secondsOf([&] {
             for (int round = 0; round < rounds; ++round)
                 decodedRoutes += codec.decodeConfiguration(text).value()->routeCount();
         });
-        std::printf("configuration-decode routes=%zu bytes=%zu parse_ms=%.3f decode_ms=%.3f decoded_routes=%zu\n",
-            routes, text.size(), parsed * 1e3 / rounds, decoded * 1e3 / rounds, decodedRoutes);
+        std::printf("configuration-decode routes=%zu bytes=%zu decode_ms=%.3f decoded_routes=%zu\n", routes,
+            text.size(), decoded * 1e3 / rounds, decodedRoutes);
         runLookups(*codec.decodeConfiguration(text).value(), routes);
     }
     runBase64();
