CallerSession: the idle time ends when a request begins

Cause: the loop of edge-surat-6 stood still from 18.45 to 19.15 s. The same timer also ended connections in the middle of a header or body that began late in the idle time (found on reading).

From the first byte on, the header's time limit of the configuration, which was decoded but not used, replaces the idle time. A body may take as long as it keeps arriving. When the timer ends and bytes wait in the socket, the process did not run in time, and they are read.

Open: the connection had been idle for 14.9 of 15 s, although callers are said to use up to four fifths of the time.

--- a/src/edge/include/wagtailrack/edge/CallerSession.h
+++ b/src/edge/include/wagtailrack/edge/CallerSession.h
@@ -92,7 +92,9 @@
     asio::awaitable<void> writeResponses();
     asio::awaitable<void> handleExchange(ExchangePointer exchange);
     void refuseRequest(Exchange& exchange, const RefusedRequest& refused);
+    // Replaces the deadline for the next data of the caller.
     void armReadTimer(SteadyTime deadline);
+    void handleReadTimeout();
     void notifyStateChanged();
     void handleCallerDisconnect();
 
@@ -106,6 +108,8 @@
     // are pending.
     Timer stateChanged;
     Timer readTimer;
+    SteadyTime readDeadline;
+    // From the first byte of a request to its last one.
     bool isReadingRequest = false;
     bool isOpen = true;
 };
--- a/src/edge/src/CallerSession.cpp
+++ b/src/edge/src/CallerSession.cpp
@@ -123,16 +123,30 @@
 
 void CallerSession::armReadTimer(SteadyTime deadline)
 {
+    this->readDeadline = deadline;
     this->readTimer.expires_at(deadline);
     this->readTimer.async_wait([weak = this->weak_from_this()](error_code failure) {
         const auto self = weak.lock();
-        // The connection is not idle while the caller waits for responses.
-        if (failure || !self || !self->pendingExchanges.empty())
+        // The timer may have been armed again after this call was queued. The connection is not idle while the caller
+        // waits for responses.
+        if (failure || !self || !self->pendingExchanges.empty() || BootTimeClock::now() < self->readDeadline)
             return;
-        self->close();
+        self->handleReadTimeout();
     });
 }
 
+void CallerSession::handleReadTimeout()
+{
+    // After a time in which the process did not run, data may have arrived before the deadline and not been read yet.
+    error_code failure;
+    const bool hasUnreadData = this->socket.available(failure) > 0;
+    if (!failure && hasUnreadData && !this->isReadingRequest) {
+        this->armReadTimer(BootTimeClock::now() + Milliseconds(this->handler.limits().headerTimeoutMs));
+        return;
+    }
+    this->close();
+}
+
 asio::awaitable<void> CallerSession::readRequests()
 {
     const auto self = this->shared_from_this();
@@ -154,6 +168,8 @@
             co_return;
         }
         const CallerLimits limits = this->handler.limits();
+        this->isReadingRequest = true;
+        this->armReadTimer(BootTimeClock::now() + Milliseconds(limits.headerTimeoutMs));
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<uint32_t>(limits.maxHeaderBytes));
         parser.body_limit(static_cast<uint64_t>(limits.maxBodyBytes));
@@ -161,10 +177,15 @@
             this->socket, this->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
         const auto requestMemory = std::make_shared<TransferBudget::Reservation>(this->listener.budget);
         if (!failure && !parser.is_done()) {
-            this->isReadingRequest = true;
-            co_await readBody(this->socket, this->buffer, parser, *requestMemory, SteadyTime::max(), failure);
-            this->isReadingRequest = false;
+            // A body may be large and its link slow, but a caller that stops in the middle of it is given up.
+            const auto extendDeadline = [&](size_t /* bytes */) {
+                this->armReadTimer(BootTimeClock::now() + Milliseconds(limits.idleTimeoutMs));
+            };
+            extendDeadline(0);
+            co_await readBody(
+                this->socket, this->buffer, parser, *requestMemory, SteadyTime::max(), failure, extendDeadline);
         }
+        this->isReadingRequest = false;
         if (!this->isOpen)
             co_return;
         const bool isMalformed = failure && failure != http::error::end_of_stream
