CallerSession: a pipelined request is handled once

Cause: the task that handles a request marked it as started when it ran first, which is later than co_spawn(). writeResponses(), which starts the next request of the connection, could come in between and start it again. The mark is now set where the task is started.

Evidence: CallerConnection.pipelinedRequestIsHandledOnce failed before, with "expected 1 but was 2", and passes. CallerConnection (5 tests) and PlannedStop (6) pass.

--- a/src/edge/include/wagtailrack/edge/CallerSession.h
+++ b/src/edge/include/wagtailrack/edge/CallerSession.h
@@ -90,6 +90,7 @@
 private:
     asio::awaitable<void> readRequests();
     asio::awaitable<void> writeResponses();
+    void startHandler(const ExchangePointer& exchange);
     asio::awaitable<void> handleExchange(ExchangePointer exchange);
     void refuseRequest(Exchange& exchange, const RefusedRequest& refused);
     // Replaces the deadline for the next data of the caller.
--- a/src/edge/src/CallerSession.cpp
+++ b/src/edge/src/CallerSession.cpp
@@ -210,8 +210,7 @@
         exchange->request = parser.release();
         exchange->requestMemory = requestMemory;
         if (isFirst || this->handler.canHandleConcurrently(exchange->request))
-            asio::co_spawn(
-                this->context, [self, exchange] { return self->handleExchange(exchange); }, asio::detached);
+            this->startHandler(exchange);
         this->notifyStateChanged();
     }
 }
@@ -227,10 +226,18 @@
     this->notifyStateChanged();
 }
 
+void CallerSession::startHandler(const ExchangePointer& exchange)
+{
+    // Set here: the task itself begins to run later only.
+    exchange->isHandlerStarted = true;
+    asio::co_spawn(
+        this->context, [self = this->shared_from_this(), exchange] { return self->handleExchange(exchange); },
+        asio::detached);
+}
+
 asio::awaitable<void> CallerSession::handleExchange(ExchangePointer exchange)
 {
     const auto self = this->shared_from_this();
-    exchange->isHandlerStarted = true;
     try {
         co_await this->handler.handle(exchange);
     } catch (const std::exception& exception) {
@@ -288,9 +295,7 @@
             this->armReadTimer(BootTimeClock::now() + Milliseconds(this->handler.limits().idleTimeoutMs));
         } else if (!this->pendingExchanges.front()->isHandlerStarted
             && !this->pendingExchanges.front()->isResponseReady) {
-            const ExchangePointer next = this->pendingExchanges.front();
-            asio::co_spawn(
-                this->context, [self, next] { return self->handleExchange(next); }, asio::detached);
+            this->startHandler(this->pendingExchanges.front());
         }
         this->notifyStateChanged();
     }
