A request above the limits of an outdated configuration gets 503, not 413 or 431

Callers got a final 413 or 431 from an instance whose configuration may have been replaced by one that allows the request. They do not repeat a request after these.

Cause: the limits of the version in hand decided, as they do for a current one. A missing route already gets 503 configuration-outdated in that state, and an instance without any version answers the same. Such a request is now rejected with 503 and Retry-After too. 413 and 431 stay for a current configuration, which RequestLimits.largeRequestsAreRefused checks.

The test failed before, with "expected 503 but was 413"; with the change RequestLimits passes (5 tests, one run). The full suites and the linter were not run on this commit.

--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -56,6 +56,7 @@
 
 constexpr const char* noRouteOutcome = "no-route";
 constexpr const char* noConfigurationOutcome = "no-configuration";
+constexpr const char* configurationOutdatedOutcome = "configuration-outdated";
 
 double millisecondsSince(SteadyTime from, SteadyTime to)
 {
@@ -234,7 +235,7 @@
 {
     // A caller does not repeat a request after 404, so that status is only for a route that no version has.
     if (this->dependencies.clusterState.isConfigurationOutdated())
-        this->reject(state, "configuration-outdated", unconfiguredRetryAfterSeconds);
+        this->reject(state, configurationOutdatedOutcome, unconfiguredRetryAfterSeconds);
     else
         this->respondWithError(state, http::status::not_found, noRouteOutcome);
 }
@@ -590,9 +591,10 @@
     const char* outcome = toString(refused.reason);
     const bool isTooLarge
         = refused.reason == RefusalReason::HeaderTooLarge || refused.reason == RefusalReason::BodyTooLarge;
-    // The built-in limits are not the operator's: the request may be allowed by the configuration.
-    if (isTooLarge && refused.limits.configurationVersion == 0) {
-        outcome = noConfigurationOutcome;
+    const bool isConfigured = refused.limits.configurationVersion != 0;
+    // Built-in limits and those of an outdated version are not the current ones, which may allow the request.
+    if (isTooLarge && (!isConfigured || this->dependencies.clusterState.isConfigurationOutdated())) {
+        outcome = isConfigured ? configurationOutdatedOutcome : noConfigurationOutcome;
         response = makeResponse(
             http::status::service_unavailable, std::string(outcome) + "\n", unconfiguredRetryAfterSeconds);
     }
