Operator items are read from the store as changes, not listed whole again

When the instance that reads the store for its region did not reach it, each other instance of the region listed all operator items about every 1.5 s although nothing had changed. With a configuration of 1 MB that filled slow links beside the callers' requests, and all instances of the region did it at the same time.

An instance that has a copy now asks for the changes since its revision, with a watch of 1 ms. It lists the items if it has no copy, if the history is gone, or if the changes could not be read for a reason other than that the store refused the call or was not reached (they may be larger than a response may be). The reader does the same after a watch that failed.

--- a/src/edge/include/wagtailrack/edge/ClusterStateCache.h
+++ b/src/edge/include/wagtailrack/edge/ClusterStateCache.h
@@ -72,7 +72,11 @@
     asio::awaitable<void> syncServerRecords();
     asio::awaitable<void> syncWithPeers();
     asio::awaitable<void> maintainRegistration();
+    // Reads the changes since the own copy, or lists all items if that is not possible.
     asio::awaitable<bool> readOperatorItems();
+    asio::awaitable<bool> readOperatorItemChanges();
+    void applyOperatorItemChanges(StoreChanges changes, SteadyTime readAt, const char* source);
+    void recordFailedWatch(const Error& error);
     asio::awaitable<bool> readServerRecords();
     asio::awaitable<bool> fetchStateFromPeer(std::string address);
     // Revision of the store and time of the read up to which a peer's copy is current.
@@ -133,6 +137,8 @@
     // A watch is pending at the store, which would report a change: the operator items are up to date.
     bool isWatching = false;
     int64_t refusedConfigurationRevision = -1;
+    // The changes since the own copy could not be read from the store: the next read lists all operator items.
+    bool needsOperatorListing = false;
     // A fetch of large operator items from a peer is in progress. It makes progress or ends, so that the items are
     // not requested from other peers or the store meanwhile.
     bool isFetchingOperatorItems = false;
--- a/src/edge/src/ClusterStateCache.cpp
+++ b/src/edge/src/ClusterStateCache.cpp
@@ -31,6 +31,8 @@
 constexpr int64_t ageCheckIntervalMs = 100;
 // Duration of one watch of the operator items. Short, so that a connection that no longer delivers data is detected.
 constexpr int64_t watchTimeoutMs = 3000;
+// Duration of a watch that only reads the changes so far. The store takes whole milliseconds.
+constexpr int64_t changesReadTimeoutMs = 1;
 // Delay after a failed call to the store and after the end of a watch. A failed registration waits four times as long.
 constexpr int64_t storeRetryDelayMs = 250;
 // Gap between two reads of the server records after which records may have expired although their servers are running.
@@ -251,8 +253,48 @@
             { "servers_age_ms", this->hasServerRecords ? this->serverRecordsAgeMs() : -1 } });
 }
 
+void ClusterStateCache::applyOperatorItemChanges(StoreChanges changes, SteadyTime readAt, const char* source)
+{
+    std::map<std::string, StoreItem> items = this->operatorItems;
+    for (StoreItem& item : changes.written)
+        items[item.key] = std::move(item);
+    for (const std::string& key : changes.removed)
+        items.erase(key);
+    this->applyOperatorItems(std::move(items), changes.revision, readAt, source);
+}
+
+asio::awaitable<bool> ClusterStateCache::readOperatorItemChanges()
+{
+    const SteadyTime requestedAt = this->clock.now();
+    const std::string prefix = this->codec.layout().operatorPrefix;
+    Result<StoreChanges> changes
+        = co_await this->store.watch(prefix, this->operatorItemsRevision, changesReadTimeoutMs);
+    if (!changes) {
+        this->recordFailedWatch(changes.error());
+        co_return false;
+    }
+    this->recordStoreCall(true, "watch", "");
+    this->applyOperatorItemChanges(std::move(changes.value()), requestedAt, "store");
+    co_return true;
+}
+
+void ClusterStateCache::recordFailedWatch(const Error& error)
+{
+    // The store refused the call, or was not reached: the next one may read the changes. After other failures, the
+    // history may be lost, or the changes larger than a response may be.
+    this->needsOperatorListing = error.code != ErrorCode::StoreUnavailable && error.code != ErrorCode::RateLimited;
+    if (error.code != ErrorCode::StaleVersion)
+        this->recordStoreCall(false, "watch", describe(error));
+}
+
 asio::awaitable<bool> ClusterStateCache::readOperatorItems()
 {
+    // The configuration may have 1 MB, and all instances of a region read at the same time when their reader is lost.
+    if (this->operatorItemsRevision >= 0 && !this->needsOperatorListing) {
+        const bool wasRead = co_await this->readOperatorItemChanges();
+        if (wasRead || !this->needsOperatorListing)
+            co_return wasRead;
+    }
     const SteadyTime requestedAt = this->clock.now();
     const std::string prefix = this->codec.layout().operatorPrefix;
     Result<StoreListing> listing = co_await this->store.list(prefix, ReadConsistency::Linearizable);
@@ -265,6 +307,7 @@
     for (StoreItem& item : listing.value().items)
         items[item.key] = std::move(item);
     this->applyOperatorItems(std::move(items), listing.value().revision, requestedAt, "store");
+    this->needsOperatorListing = false;
     co_return true;
 }
 
@@ -279,17 +322,12 @@
         if (changes)
             this->recordStoreCall(true, "watch", "");
         if (!changes) {
-            if (changes.error().code != ErrorCode::StaleVersion)
-                this->recordStoreCall(false, "watch", describe(changes.error()));
+            this->recordFailedWatch(changes.error());
             co_return;
         }
-        std::map<std::string, StoreItem> items = this->operatorItems;
-        for (StoreItem& item : changes.value().written)
-            items[item.key] = std::move(item);
-        for (const std::string& key : changes.value().removed)
-            items.erase(key);
         revision = std::max(revision, changes.value().revision);
-        this->applyOperatorItems(std::move(items), revision, this->clock.now(), "watch");
+        changes.value().revision = revision;
+        this->applyOperatorItemChanges(std::move(changes.value()), this->clock.now(), "watch");
     }
 }
 
