The host of a request selects its routes regardless of the case of its letters

Callers that wrote a host in capitals got a final 404, although HTTP compares the names of hosts without regard to case.

Cause: the routing table was searched with the bytes of the Host header. The header is passed on as it came.

--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -63,11 +63,19 @@
     return std::chrono::duration<double, std::milli>(to - from).count();
 }
 
+char toLowerCase(char character)
+{
+    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
+}
+
 // Returns null if no route matches.
 const RouteRule* findRule(const RoutingTable& table, const HttpRequest& request)
 {
     const auto target = request.target();
-    return table.findRoute(headerValue(request.base(), "Host"), std::string_view(target.data(), target.size()));
+    // The names of hosts are compared regardless of case (RFC 9110, 4.2.3); the table has them in lower case.
+    std::string host = headerValue(request.base(), "Host");
+    std::transform(host.begin(), host.end(), host.begin(), toLowerCase);
+    return table.findRoute(host, std::string_view(target.data(), target.size()));
 }
 
 // The host of a request and the first segment of its path, which tell the missing route of a request with 404.
