--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -56,17 +56,26 @@
 
 constexpr const char* noRouteOutcome = "no-route";
 constexpr const char* noConfigurationOutcome = "no-configuration";
+constexpr const char* configurationOutdatedOutcome = "configuration-outdated";
 
 double millisecondsSince(SteadyTime from, SteadyTime to)
 {
     return std::chrono::duration<double, std::milli>(to - from).count();
 }
 
+char toLowerCase(char character)
+{
+    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
+}
+
 // Returns null if no route matches.
 const RouteRule* findRule(const RoutingTable& table, const HttpRequest& request)
 {
     const auto target = request.target();
-    return table.findRoute(headerValue(request.base(), "Host"), std::string_view(target.data(), target.size()));
+    // The names of hosts are compared regardless of case (RFC 9110, 4.2.3); the table has them in lower case.
+    std::string host = headerValue(request.base(), "Host");
+    std::transform(host.begin(), host.end(), host.begin(), toLowerCase);
+    return table.findRoute(host, std::string_view(target.data(), target.size()));
 }
 
 // The host of a request and the first segment of its path, which tell the missing route of a request with 404.
@@ -234,7 +243,7 @@
 {
     // A caller does not repeat a request after 404, so that status is only for a route that no version has.
     if (this->dependencies.clusterState.isConfigurationOutdated())
-        this->reject(state, "configuration-outdated", unconfiguredRetryAfterSeconds);
+        this->reject(state, configurationOutdatedOutcome, unconfiguredRetryAfterSeconds);
     else
         this->respondWithError(state, http::status::not_found, noRouteOutcome);
 }
@@ -590,9 +599,10 @@
     const char* outcome = toString(refused.reason);
     const bool isTooLarge
         = refused.reason == RefusalReason::HeaderTooLarge || refused.reason == RefusalReason::BodyTooLarge;
-    // The built-in limits are not the operator's: the request may be allowed by the configuration.
-    if (isTooLarge && refused.limits.configurationVersion == 0) {
-        outcome = noConfigurationOutcome;
+    const bool isConfigured = refused.limits.configurationVersion != 0;
+    // Built-in limits and those of an outdated version are not the current ones, which may allow the request.
+    if (isTooLarge && (!isConfigured || this->dependencies.clusterState.isConfigurationOutdated())) {
+        outcome = isConfigured ? configurationOutdatedOutcome : noConfigurationOutcome;
         response = makeResponse(
             http::status::service_unavailable, std::string(outcome) + "\n", unconfiguredRetryAfterSeconds);
     }
