A response that trickles ends, and holds up neither the store nor other peers

An instance whose peer sends a large configuration at a trickle kept the old one, so that callers would have got 404 or 503 for new routes.

Cause: each 16 kB within the permitted pause moved the deadline of a call, without an end. While a fetch from a peer was in progress, the store was not asked and no other peer.

A fetch that has not ended after 1.5 s is overdue: the store is asked as before the fetch, and a second fetch from another peer may begin. The first one goes on, so that a slow own link loses nothing.

--- a/src/edge/include/wagtailrack/edge/ClusterStateCache.h
+++ b/src/edge/include/wagtailrack/edge/ClusterStateCache.h
@@ -82,8 +82,8 @@
     };
     void startOperatorItemsFetch(const std::string& address, Currency currency);
     asio::awaitable<void> fetchOperatorItemsFromPeer(std::string address, Currency currency);
-    // The response body; empty unless the peer answered with status 200.
-    asio::awaitable<std::string> callPeer(std::string address, std::string target);
+    // The response body; empty unless the peer answered with status 200 within `maximumTime`.
+    asio::awaitable<std::string> callPeer(std::string address, std::string target, Milliseconds maximumTime);
     bool applyOperatorItemsFromPeer(const Json::Value& section, Currency currency, const std::string& address);
     Json::Value changedOperatorItems(int64_t sinceRevision) const;
     void describeOperatorItems(Json::Value& section, const Json::Value& changedItems) const;
@@ -133,9 +133,11 @@
     // A watch is pending at the store, which would report a change: the operator items are up to date.
     bool isWatching = false;
     int64_t refusedConfigurationRevision = -1;
-    // A fetch of large operator items from a peer is in progress. It makes progress or ends, so that the items are
-    // not requested from other peers or the store meanwhile.
-    bool isFetchingOperatorItems = false;
+    // The peers from which large operator items are being fetched. A further peer is asked only when a fetch is
+    // overdue.
+    std::set<std::string> fetchingPeers;
+    // Until this time a peer is expected to bring the copy up to date, and the store is not asked.
+    SteadyTime fetchExpectedUntil;
     // Highest revision of operator items that differ from the own copy, as peers reported them.
     int64_t reportedOperatorItemsRevision = -1;
     // Set when the changes since the own revision did not lead to the peer's items: the next fetch asks for all items.
--- a/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
+++ b/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
@@ -79,6 +79,8 @@
     // If positive, the body may take longer than `deadline` as long as it keeps arriving: each part of it moves the
     // deadline to this long after its arrival. For large responses, whose duration depends on the link.
     Milliseconds maximumStall { 0 };
+    // The deadline is not moved beyond this time, so that a response that trickles ends.
+    SteadyTime latestDeadline = SteadyTime::max();
     // Name and value of a header that the response must repeat; other responses are skipped. With an empty name, any
     // response is accepted.
     std::string echoHeader;
--- a/src/edge/src/ClusterStateCache.cpp
+++ b/src/edge/src/ClusterStateCache.cpp
@@ -47,6 +47,13 @@
 constexpr int64_t peerTimeoutMs = 600;
 // Longest pause within a response of a peer, which may be large and its link slow.
 constexpr Milliseconds maximumPeerStall(600);
+// Longest poll of the state. A poll holds up those of other peers.
+constexpr Milliseconds maximumPollTime(1500);
+// Longest fetch of operator items. A configuration of 1 MB has about 160 kB compressed, which take 0.13 s on a link of
+// 10 Mbit/s, and many times as long beside other traffic.
+constexpr Milliseconds maximumFetchTime(4000);
+// Fetches at the same time: one that is overdue, and one from another peer.
+constexpr size_t maximumFetches = 2;
 // Longest wait for an update after a pause. A call to a peer or to the store of another region takes about 110 ms;
 // while neither answers, requests are forwarded with the stale copy.
 constexpr Milliseconds maximumRefreshTime(500);
@@ -299,7 +306,7 @@
         const int64_t ageMs = this->operatorItemsAgeMs();
         if (this->isWaitingForPeers()
             || (!this->isRegionStoreReader() && this->activeRoutingTable
-                && (ageMs < storeFallbackAgeMs || this->isFetchingOperatorItems))) {
+                && (ageMs < storeFallbackAgeMs || this->clock.now() < this->fetchExpectedUntil))) {
             co_await this->sleep(ageCheckIntervalMs);
             continue;
         }
@@ -366,7 +373,8 @@
     }
 }
 
-asio::awaitable<std::string> ClusterStateCache::callPeer(std::string address, std::string target)
+asio::awaitable<std::string> ClusterStateCache::callPeer(
+    std::string address, std::string target, Milliseconds maximumTime)
 {
     const auto call = std::make_shared<Call>();
     call->request = HttpRequest(http::verb::get, target, 11);
@@ -374,9 +382,11 @@
     call->echoHeader = peerCallHeader;
     call->echoValue = std::to_string(++this->peerCallCounter);
     call->request.set(call->echoHeader, call->echoValue);
-    call->deadline = this->clock.now() + Milliseconds(peerTimeoutMs);
+    const SteadyTime now = this->clock.now();
+    call->deadline = now + Milliseconds(peerTimeoutMs);
     call->connectDeadline = call->deadline;
     call->maximumStall = maximumPeerStall;
+    call->latestDeadline = now + maximumTime;
     const Endpoint peer { address, this->settings.stateAddress.port };
     const CallOutcome outcome = co_await this->peerConnections.execute(call, peer);
     const bool isAnswered = outcome == CallOutcome::Answered && call->response.result_int() == 200;
@@ -411,13 +421,19 @@
 
 void ClusterStateCache::startOperatorItemsFetch(const std::string& address, Currency currency)
 {
-    if (this->isFetchingOperatorItems)
+    const SteadyTime now = this->clock.now();
+    const bool isFirst = this->fetchingPeers.empty();
+    if (!isFirst
+        && (now < this->fetchExpectedUntil || this->fetchingPeers.size() >= maximumFetches
+            || this->fetchingPeers.contains(address)))
         return;
-    this->isFetchingOperatorItems = true;
+    this->fetchingPeers.insert(address);
+    if (isFirst)
+        this->fetchExpectedUntil = now + Milliseconds(storeFallbackAgeMs);
     asio::co_spawn(
         this->context, [this, address, currency] { return this->fetchOperatorItemsFromPeer(address, currency); },
-        [this](const std::exception_ptr& exception) {
-            this->isFetchingOperatorItems = false;
+        [this, address](const std::exception_ptr& exception) {
+            this->fetchingPeers.erase(address);
             if (exception)
                 this->log.write(LogCategory::ProcessState, "task-failed", { { "task", "operator-items-fetch" } });
         });
@@ -428,15 +444,18 @@
     const SteadyTime requestedAt = this->clock.now();
     const int64_t since = this->needsAllOperatorItems ? 0 : this->operatorItemsRevision;
     const std::string target = "/operator-items?since=" + std::to_string(since);
-    const std::string body = co_await this->callPeer(address, target);
+    const std::string body = co_await this->callPeer(address, target, maximumFetchTime);
     const Result<std::string> text = decompress(body, maximumPeerMessageBytes);
     const Result<Json::Value> section
         = text ? version::parseJson(text.value(), address) : Result<Json::Value>(text.error());
     const bool isApplied
         = section && section.value().isObject() && this->applyOperatorItemsFromPeer(section.value(), currency, address);
+    // The poll that follows confirms the copy, or shows that a change came meanwhile.
+    const SteadyTime endedAt = this->clock.now();
+    this->fetchExpectedUntil = isApplied ? endedAt + Milliseconds(peerPollIntervalMs) : endedAt;
     this->log.write(LogCategory::ProcessState, "operator-items-fetched",
         { { "peer", address }, { "since", since }, { "bytes", static_cast<uint64_t>(body.size()) },
-            { "ms", millisecondsBetween(requestedAt, this->clock.now()) },
+            { "ms", millisecondsBetween(requestedAt, endedAt) },
             { "outcome",
                 isApplied          ? "applied"
                     : body.empty() ? "no-answer"
@@ -450,7 +469,7 @@
     const std::string target = "/state?operator=" + std::to_string(this->operatorItemsHash)
         + "&operatorRevision=" + std::to_string(this->needsAllOperatorItems ? 0 : this->operatorItemsRevision)
         + "&servers=" + std::to_string(this->serverRecordsRevision);
-    const std::string body = co_await this->callPeer(address, target);
+    const std::string body = co_await this->callPeer(address, target, maximumPollTime);
     if (body.empty())
         co_return false;
     const Result<Json::Value> answer = version::parseJson(body, address);
--- a/src/edge/src/HttpConnectionPool.cpp
+++ b/src/edge/src/HttpConnectionPool.cpp
@@ -179,7 +179,8 @@
         if (call->maximumStall <= Milliseconds(0) || unreportedBytes < minimumProgressBytes)
             return;
         unreportedBytes = 0;
-        call->deadline = std::max(call->deadline, BootTimeClock::now() + call->maximumStall);
+        const SteadyTime extended = std::min(BootTimeClock::now() + call->maximumStall, call->latestDeadline);
+        call->deadline = std::max(call->deadline, extended);
         connection->armTimer(call->deadline);
     };
     if (!failure)
