A failed fetch of operator items is repeated after a pause that grows

A peer whose response is refused or lost was asked for it again at every poll, which takes the link from the callers' requests.

Cause: nothing but the poll's interval bounded the rate of fetches.

Change: the peer is asked again 250 ms after a failure, a time that doubles with each further one up to 2 s; any other peer after 250 ms.

--- a/src/edge/include/wagtailrack/edge/ClusterStateCache.h
+++ b/src/edge/include/wagtailrack/edge/ClusterStateCache.h
@@ -138,6 +138,13 @@
     std::set<std::string> fetchingPeers;
     // Until this time a peer is expected to bring the copy up to date, and the store is not asked.
     SteadyTime fetchExpectedUntil;
+    // After a failed fetch the peer is not asked again for some time, and any other peer for a shorter one.
+    struct FetchPause {
+        SteadyTime endsAt;
+        int failureCount = 0;
+    };
+    std::map<std::string, FetchPause> fetchPauses;
+    SteadyTime nextFetchAt;
     // Highest revision of operator items that differ from the own copy, as peers reported them.
     int64_t reportedOperatorItemsRevision = -1;
     // Set when the changes since the own revision did not lead to the peer's items: the next fetch asks for all items.
--- a/src/edge/src/ClusterStateCache.cpp
+++ b/src/edge/src/ClusterStateCache.cpp
@@ -52,6 +52,11 @@
 // Longest fetch of operator items. A configuration of 1 MB has about 160 kB compressed, which take 0.13 s on a link of
 // 10 Mbit/s, and many times as long beside other traffic.
 constexpr Milliseconds maximumFetchTime(4000);
+// Longest pause before a peer is asked again after failed fetches. The pause begins with storeRetryDelayMs and doubles
+// with each failure.
+constexpr int64_t maximumFetchPauseMs = 2000;
+// Failures that are counted for the pause, more than lead to the longest one.
+constexpr int maximumFetchFailures = 8;
 // Fetches at the same time: one that is overdue, and one from another peer.
 constexpr size_t maximumFetches = 2;
 // Longest wait for an update after a pause. A call to a peer or to the store of another region takes about 110 ms;
@@ -423,6 +428,9 @@
 {
     const SteadyTime now = this->clock.now();
     const bool isFirst = this->fetchingPeers.empty();
+    const auto pause = this->fetchPauses.find(address);
+    if (now < this->nextFetchAt || (pause != this->fetchPauses.end() && now < pause->second.endsAt))
+        return;
     if (!isFirst
         && (now < this->fetchExpectedUntil || this->fetchingPeers.size() >= maximumFetches
             || this->fetchingPeers.contains(address)))
@@ -453,6 +461,15 @@
     // The poll that follows confirms the copy, or shows that a change came meanwhile.
     const SteadyTime endedAt = this->clock.now();
     this->fetchExpectedUntil = isApplied ? endedAt + Milliseconds(peerPollIntervalMs) : endedAt;
+    if (isApplied) {
+        this->fetchPauses.clear();
+    } else {
+        FetchPause& pause = this->fetchPauses[address];
+        const int64_t pauseMs = std::min(storeRetryDelayMs << pause.failureCount, maximumFetchPauseMs);
+        pause.endsAt = endedAt + Milliseconds(pauseMs);
+        pause.failureCount = std::min(pause.failureCount + 1, maximumFetchFailures);
+        this->nextFetchAt = endedAt + Milliseconds(storeRetryDelayMs);
+    }
     this->log.write(LogCategory::ProcessState, "operator-items-fetched",
         { { "peer", address }, { "since", since }, { "bytes", static_cast<uint64_t>(body.size()) },
             { "ms", millisecondsBetween(requestedAt, endedAt) },
