The response with operator items states its own revision and age

An evacuation could end before its time: the copy went back to older items.

Cause: a poll of the state reports a revision, the items come with a later call. The peer may have changed in between; its items were stored under the revision and age of the poll, so that an older copy, reported by a peer under a revision between the two, replaced them.

Change: two headers of the response to /operator-items state revision and age. The body depends on neither and is still encoded once for all peers. Ruled out: to refuse items that differ from what the poll reported. With a large configuration that changes every 250 ms each fetch could fail.

--- a/src/edge/include/wagtailrack/edge/ClusterStateCache.h
+++ b/src/edge/include/wagtailrack/edge/ClusterStateCache.h
@@ -23,6 +23,10 @@
 // Header that numbers the calls of an instance to its peers. A peer repeats it in the response, so that a late copy of
 // an earlier response is not taken for the next one.
 inline constexpr const char* peerCallHeader = "Wagtailrack-Peer-Call";
+// Headers of the response to `/operator-items`: the revision of the store up to which the items are current, and the
+// time since they were known to be, in milliseconds. The body depends on neither and is encoded once for many peers.
+inline constexpr const char* operatorItemsRevisionHeader = "Wagtailrack-Operator-Items-Revision";
+inline constexpr const char* operatorItemsAgeHeader = "Wagtailrack-Operator-Items-Age-Ms";
 
 // This instance's copy of the cluster state: the configuration, the evacuations and the records of the backend servers.
 //
@@ -46,6 +50,8 @@
     // Time since the server records were read from the store, by this instance or by the peer that passed them on.
     int64_t serverRecordsAgeMs() const;
     int64_t configurationAgeMs() const { return this->operatorItemsAgeMs(); }
+    // Revision of the store up to which the operator items are current; -1 if none is known.
+    int64_t configurationRevision() const noexcept { return this->operatorItemsRevision; }
     // Whether a newer version than routingTable() may be in force: a peer has one, or neither the store nor a peer has
     // confirmed the copy for some time. A route that is missing from the table may exist then.
     bool isConfigurationOutdated() const;
@@ -80,10 +86,10 @@
         int64_t revision = 0;
         SteadyTime readAt;
     };
-    void startOperatorItemsFetch(const std::string& address, Currency currency);
-    asio::awaitable<void> fetchOperatorItemsFromPeer(std::string address, Currency currency);
-    // The response body; empty unless the peer answered with status 200 within `maximumTime`.
-    asio::awaitable<std::string> callPeer(std::string address, std::string target, Milliseconds maximumTime);
+    void startOperatorItemsFetch(const std::string& address);
+    asio::awaitable<void> fetchOperatorItemsFromPeer(std::string address);
+    // The response; its body is empty unless the peer answered with status 200 within `maximumTime`.
+    asio::awaitable<HttpResponse> callPeer(std::string address, std::string target, Milliseconds maximumTime);
     bool applyOperatorItemsFromPeer(const Json::Value& section, Currency currency, const std::string& address);
     Json::Value changedOperatorItems(int64_t sinceRevision) const;
     void describeOperatorItems(Json::Value& section, const Json::Value& changedItems) const;
--- a/src/edge/src/ClusterStateCache.cpp
+++ b/src/edge/src/ClusterStateCache.cpp
@@ -14,6 +14,8 @@
 #include <json/writer.h>
 
 #include <algorithm>
+#include <charconv>
+#include <optional>
 
 namespace wagtailrack::edge {
 
@@ -93,6 +95,17 @@
     return value;
 }
 
+// Value of a header of a peer's response; empty unless it is a number that is not negative.
+std::optional<int64_t> integerHeader(const HttpResponse& response, const char* name)
+{
+    const std::string text = headerValue(response.base(), name);
+    int64_t value = -1;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (failure != std::errc() || end != text.data() + text.size() || value < 0)
+        return std::nullopt;
+    return value;
+}
+
 // Hash of the keys and their revisions.
 uint64_t hashOf(const std::map<std::string, StoreItem>& items)
 {
@@ -378,7 +391,7 @@
     }
 }
 
-asio::awaitable<std::string> ClusterStateCache::callPeer(
+asio::awaitable<HttpResponse> ClusterStateCache::callPeer(
     std::string address, std::string target, Milliseconds maximumTime)
 {
     const auto call = std::make_shared<Call>();
@@ -395,7 +408,7 @@
     const Endpoint peer { address, this->settings.stateAddress.port };
     const CallOutcome outcome = co_await this->peerConnections.execute(call, peer);
     const bool isAnswered = outcome == CallOutcome::Answered && call->response.result_int() == 200;
-    co_return isAnswered ? std::move(call->response.body()) : std::string();
+    co_return isAnswered ? std::move(call->response) : HttpResponse();
 }
 
 bool ClusterStateCache::applyOperatorItemsFromPeer(
@@ -424,7 +437,7 @@
     return true;
 }
 
-void ClusterStateCache::startOperatorItemsFetch(const std::string& address, Currency currency)
+void ClusterStateCache::startOperatorItemsFetch(const std::string& address)
 {
     const SteadyTime now = this->clock.now();
     const bool isFirst = this->fetchingPeers.empty();
@@ -439,7 +452,7 @@
     if (isFirst)
         this->fetchExpectedUntil = now + Milliseconds(storeFallbackAgeMs);
     asio::co_spawn(
-        this->context, [this, address, currency] { return this->fetchOperatorItemsFromPeer(address, currency); },
+        this->context, [this, address] { return this->fetchOperatorItemsFromPeer(address); },
         [this, address](const std::exception_ptr& exception) {
             this->fetchingPeers.erase(address);
             if (exception)
@@ -447,17 +460,22 @@
         });
 }
 
-asio::awaitable<void> ClusterStateCache::fetchOperatorItemsFromPeer(std::string address, Currency currency)
+asio::awaitable<void> ClusterStateCache::fetchOperatorItemsFromPeer(std::string address)
 {
     const SteadyTime requestedAt = this->clock.now();
     const int64_t since = this->needsAllOperatorItems ? 0 : this->operatorItemsRevision;
     const std::string target = "/operator-items?since=" + std::to_string(since);
-    const std::string body = co_await this->callPeer(address, target, maximumFetchTime);
+    const HttpResponse response = co_await this->callPeer(address, target, maximumFetchTime);
+    const std::string& body = response.body();
+    // The peer's copy may have changed since the poll, so that the response says itself how current it is.
+    const auto revision = integerHeader(response, operatorItemsRevisionHeader);
+    const auto ageMs = integerHeader(response, operatorItemsAgeHeader);
     const Result<std::string> text = decompress(body, maximumPeerMessageBytes);
     const Result<Json::Value> section
         = text ? version::parseJson(text.value(), address) : Result<Json::Value>(text.error());
-    const bool isApplied
-        = section && section.value().isObject() && this->applyOperatorItemsFromPeer(section.value(), currency, address);
+    const bool isApplied = section && section.value().isObject() && revision && ageMs
+        && this->applyOperatorItemsFromPeer(
+            section.value(), { *revision, requestedAt - Milliseconds(*ageMs) }, address);
     // The poll that follows confirms the copy, or shows that a change came meanwhile.
     const SteadyTime endedAt = this->clock.now();
     this->fetchExpectedUntil = isApplied ? endedAt + Milliseconds(peerPollIntervalMs) : endedAt;
@@ -486,10 +504,10 @@
     const std::string target = "/state?operator=" + std::to_string(this->operatorItemsHash)
         + "&operatorRevision=" + std::to_string(this->needsAllOperatorItems ? 0 : this->operatorItemsRevision)
         + "&servers=" + std::to_string(this->serverRecordsRevision);
-    const std::string body = co_await this->callPeer(address, target, maximumPollTime);
-    if (body.empty())
+    const HttpResponse response = co_await this->callPeer(address, target, maximumPollTime);
+    if (response.body().empty())
         co_return false;
-    const Result<Json::Value> answer = version::parseJson(body, address);
+    const Result<Json::Value> answer = version::parseJson(response.body(), address);
     if (!answer || !answer.value().isObject()) {
         this->log.write(LogCategory::ProcessState, "peer-answer-invalid", { { "peer", address } });
         co_return false;
@@ -506,11 +524,10 @@
             this->operatorItemsReadAt = std::max(this->operatorItemsReadAt, readAt(operatorSection));
         } else if (revision > this->operatorItemsRevision) {
             this->reportedOperatorItemsRevision = std::max(this->reportedOperatorItemsRevision, revision);
-            const Currency currency { revision, readAt(operatorSection) };
             if (operatorSection.isMember("items"))
-                this->applyOperatorItemsFromPeer(operatorSection, currency, address);
+                this->applyOperatorItemsFromPeer(operatorSection, { revision, readAt(operatorSection) }, address);
             else
-                this->startOperatorItemsFetch(address, currency);
+                this->startOperatorItemsFetch(address);
         }
     }
     const Json::Value& serversSection = answer.value()["servers"];
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -257,6 +257,8 @@
         const http::status status = items.empty() ? http::status::service_unavailable : http::status::ok;
         HttpResponse response = makeResponse(status, std::move(items));
         response.set(http::field::content_encoding, "deflate");
+        response.set(operatorItemsRevisionHeader, std::to_string(this->clusterState.configurationRevision()));
+        response.set(operatorItemsAgeHeader, std::to_string(this->clusterState.configurationAgeMs()));
         response.set(peerCallHeader, headerValue(request.base(), peerCallHeader));
         return response;
     }
