A watch whose response is arriving no longer confirms the copy

What callers saw: a final 404 from the reader of a region on routes of the version that it was receiving from the store; over a link of 10 Mbit/s 1 MiB takes 1.1 s. Its peers were told that its copy was current.

Cause: while a watch is pending, any response of the store counts as a confirmation, since the store would have reported a change. The watch was taken for pending until its response was complete, although the store had begun to report.

Change: the confirmation ends with the head of the response (MetadataStore::watch() calls onAnswer). From then on until the next confirmation the configuration counts as outdated, also if the response breaks off; a response with an error status does not count. A time after which a watch is overdue is not needed: a response that has not begun ends its call 1 s after the watch's own time.

--- a/src/edge/include/wagtailrack/edge/ClusterStateCache.h
+++ b/src/edge/include/wagtailrack/edge/ClusterStateCache.h
@@ -75,6 +75,7 @@
 private:
     asio::awaitable<void> syncOperatorItems();
     asio::awaitable<void> watchOperatorItems();
+    void endWatch();
     asio::awaitable<void> syncServerRecords();
     asio::awaitable<void> syncWithPeers();
     asio::awaitable<void> maintainRegistration();
@@ -138,6 +139,8 @@
     SteadyTime operatorItemsReadAt;
     // A watch is pending at the store, which would report a change: the operator items are up to date.
     bool isWatching = false;
+    // When the store began to answer a watch: until the copy is confirmed later than this, it may lack a change.
+    SteadyTime watchAnsweredAt;
     int64_t refusedConfigurationRevision = -1;
     // The peers from which large operator items are being fetched. A further peer is asked only when a fetch is
     // overdue.
--- a/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
+++ b/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/parser.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -85,6 +86,8 @@
     // response is accepted.
     std::string echoHeader;
     std::string echoValue;
+    // Called when the head of a response has arrived.
+    std::function<void()> onResponseHead;
 
     // Results.
     HttpResponse response;
--- a/src/edge/include/wagtailrack/edge/MetadataStore.h
+++ b/src/edge/include/wagtailrack/edge/MetadataStore.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -49,8 +50,10 @@
 
     virtual asio::awaitable<Result<StoreListing>> list(std::string prefix, ReadConsistency freshness) = 0;
     // Waits up to `waitMs` for changes after `revision`. Fails with StaleVersion if the store no longer has the history
-    // since `revision`.
-    virtual asio::awaitable<Result<StoreChanges>> watch(std::string prefix, int64_t revision, int64_t waitMs) = 0;
+    // since `revision`. Calls `onAnswer` when the response begins to arrive; from then on the store reports no change.
+    virtual asio::awaitable<Result<StoreChanges>> watch(
+        std::string prefix, int64_t revision, int64_t waitMs, std::function<void()> onAnswer)
+        = 0;
     // Writes a key that the store removes when the lease ends. Fails with NotFound if the lease has already ended.
     virtual asio::awaitable<Status> put(std::string key, std::string value, int64_t lease) = 0;
     virtual asio::awaitable<Result<int64_t>> grantLease(int64_t ttlMs) = 0;
--- a/src/edge/src/ClusterStateCache.cpp
+++ b/src/edge/src/ClusterStateCache.cpp
@@ -211,7 +211,7 @@
 bool ClusterStateCache::isConfigurationOutdated() const
 {
     return this->reportedOperatorItemsRevision > this->operatorItemsRevision
-        || this->operatorItemsAgeMs() >= outageThresholdMs;
+        || this->operatorItemsReadAt < this->watchAnsweredAt || this->operatorItemsAgeMs() >= outageThresholdMs;
 }
 
 int64_t ClusterStateCache::serverRecordsAgeMs() const
@@ -293,17 +293,28 @@
     co_return true;
 }
 
+void ClusterStateCache::endWatch()
+{
+    this->isWatching = false;
+    this->operatorItemsReadAt = std::max(this->operatorItemsReadAt, this->lastStoreResponseAt);
+    this->watchAnsweredAt = this->clock.now();
+}
+
 asio::awaitable<void> ClusterStateCache::watchOperatorItems()
 {
     const std::string prefix = this->codec.layout().operatorPrefix;
     int64_t revision = this->operatorItemsRevision;
     while (this->isRegionStoreReader()) {
         this->isWatching = true;
-        Result<StoreChanges> changes = co_await this->store.watch(prefix, revision, watchTimeoutMs);
+        Result<StoreChanges> changes
+            = co_await this->store.watch(prefix, revision, watchTimeoutMs, [this] { this->endWatch(); });
         this->isWatching = false;
         if (changes)
             this->recordStoreCall(true, "watch", "");
         if (!changes) {
+            // A response with an error status tells of no change; one that broke off may have.
+            if (changes.error().code != ErrorCode::OutcomeUnknown)
+                this->watchAnsweredAt = SteadyTime();
             if (changes.error().code != ErrorCode::StaleVersion)
                 this->recordStoreCall(false, "watch", describe(changes.error()));
             co_return;
--- a/src/edge/src/HttpConnectionPool.cpp
+++ b/src/edge/src/HttpConnectionPool.cpp
@@ -173,6 +173,8 @@
     error_code failure;
     co_await http::async_read_header(
         connection->socket, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure && call->onResponseHead)
+        call->onResponseHead();
     size_t unreportedBytes = 0;
     const std::function<void(size_t)> moveDeadline = [&](size_t bytes) {
         unreportedBytes += bytes;
