Instances of an earlier release and of this one understand each other

During a rolling replacement new instances would learn nothing from old ones, and old ones nothing of a large configuration from new ones; all of them would turn to the store.

Change: `keys` may be missing; a peer without operatorRevision is sent all items; a response without any number is accepted from peers, one with another number is not. Servers must repeat the id as before.

Evidence: PeerUpdates, with the former behaviour put back in the sources: stateOfAnEarlierReleaseIsTakenOver and stateWithoutACallNumberIsTakenOver failed with "the condition did not hold within the time limit", anEarlierReleaseIsSentAllItemsInTheState with "expected <true> but was <false>". Instances of two releases were not run beside each other.

--- a/src/edge/include/wagtailrack/edge/ClusterStateCache.h
+++ b/src/edge/include/wagtailrack/edge/ClusterStateCache.h
@@ -63,6 +63,7 @@
     // What a peer knows already: sent with its requests.
     struct PeerCopy {
         uint64_t operatorItemsHash = 0;
+        // Negative if the peer did not tell it.
         int64_t operatorItemsRevision = 0;
         int64_t serverRecordsRevision = 0;
     };
--- a/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
+++ b/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
@@ -71,6 +71,13 @@
     OpenNew,
 };
 
+// Which responses of a call with an `echoHeader` are accepted.
+enum class EchoUse {
+    WithValue,
+    // Also responses without the header.
+    IfPresent,
+};
+
 // An HTTP request and the result of sending it. Can be cancelled while it is in progress.
 struct Call {
     HttpRequest request;
@@ -86,6 +93,7 @@
     // response is accepted.
     std::string echoHeader;
     std::string echoValue;
+    EchoUse echoUse = EchoUse::WithValue;
     // Called when the head of a response has arrived.
     std::function<void()> onResponseHead;
 
--- a/src/edge/src/ClusterStateCache.cpp
+++ b/src/edge/src/ClusterStateCache.cpp
@@ -410,6 +410,8 @@
     call->request.set(http::field::host, address);
     call->echoHeader = peerCallHeader;
     call->echoValue = std::to_string(++this->peerCallCounter);
+    // Instances of earlier releases do not number their responses.
+    call->echoUse = EchoUse::IfPresent;
     call->request.set(call->echoHeader, call->echoValue);
     const SteadyTime now = this->clock.now();
     call->deadline = now + Milliseconds(peerTimeoutMs);
@@ -425,7 +427,7 @@
 bool ClusterStateCache::applyOperatorItemsFromPeer(
     const Json::Value& section, Currency currency, const std::string& address)
 {
-    if (!section["hash"].isUInt64() || !section["keys"].isArray())
+    if (!section["hash"].isUInt64())
         return false;
     if (currency.revision <= this->operatorItemsRevision)
         return true;
@@ -440,7 +442,8 @@
     }
     for (StoreItem& item : changed.value())
         items[item.key] = std::move(item);
-    // The changes are relative to the copy of the request, which may have been replaced meanwhile.
+    // The changes are relative to the copy of the request, which may have been replaced meanwhile. Instances of earlier
+    // releases send all items, and no list of keys.
     this->needsAllOperatorItems = hashOf(items) != section["hash"].asUInt64();
     if (this->needsAllOperatorItems)
         return false;
@@ -797,10 +800,13 @@
         section["revision"] = static_cast<Json::Int64>(this->operatorItemsRevision);
         section["hash"] = static_cast<Json::UInt64>(this->operatorItemsHash);
         section["ageMs"] = static_cast<Json::Int64>(this->operatorItemsAgeMs());
+        // Instances of earlier releases tell no revision, and expect all items here.
+        const bool isEarlierRelease = copy.operatorItemsRevision < 0;
         size_t changedBytes = 0;
         for (const auto& [key, item] : this->operatorItems)
             changedBytes += item.modificationRevision > copy.operatorItemsRevision ? item.value.size() : 0;
-        if (this->operatorItemsHash != copy.operatorItemsHash && changedBytes <= maximumInlineBytes)
+        if (this->operatorItemsHash != copy.operatorItemsHash
+            && (isEarlierRelease || changedBytes <= maximumInlineBytes))
             this->describeOperatorItems(section, this->changedOperatorItems(copy.operatorItemsRevision));
     }
     if (this->hasServerRecords) {
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -244,8 +244,9 @@
         return this->handleLookup(query);
     if (path == "/state") {
         // A peer without a copy sends -1, which is parsed as 0, so that the peer is sent all records.
+        const std::string operatorRevision = queryValue(query, "operatorRevision");
         const ClusterStateCache::PeerCopy copy { parseUnsigned(queryValue(query, "operator")),
-            static_cast<int64_t>(parseUnsigned(queryValue(query, "operatorRevision"))),
+            operatorRevision.empty() ? -1 : static_cast<int64_t>(parseUnsigned(operatorRevision)),
             static_cast<int64_t>(parseUnsigned(queryValue(query, "servers"))) };
         HttpResponse response = makeResponse(http::status::ok, this->clusterState.encodeStateForPeer(copy));
         response.set(peerCallHeader, headerValue(request.base(), peerCallHeader));
--- a/src/edge/src/HttpConnectionPool.cpp
+++ b/src/edge/src/HttpConnectionPool.cpp
@@ -39,6 +39,15 @@
     return timeoutSeconds;
 }
 
+// Returns whether the response belongs to the call's request.
+bool isEchoAccepted(const Call& call, const HttpResponse& response)
+{
+    if (call.echoHeader.empty())
+        return true;
+    const std::string value = headerValue(response.base(), call.echoHeader);
+    return value == call.echoValue || (value.empty() && call.echoUse == EchoUse::IfPresent);
+}
+
 // Progress of sending a request. The request is sent while the response is read, so that an early response does not
 // wait for a long request body.
 struct SendProgress {
@@ -223,7 +232,7 @@
         // An interim response (1xx) is followed by the final response.
         if (parser.get().result_int() < 200)
             continue;
-        if (!call->echoHeader.empty() && headerValue(parser.get().base(), call->echoHeader) != call->echoValue)
+        if (!isEchoAccepted(*call, parser.get()))
             continue;
         // Bytes after the response belong to no request, and a request body that is still being sent must not be
         // interrupted by the next request. In both cases the connection is not reused.
