The compressed response to peers keeps no spare memory

Cause: compress() returned its buffer of the size that zlib may need at most, and the response to peers is kept until the next change.

Evidence: Compression.resultHasNoSpareMemory failed before, with "CHECK_COMPARE(995934 < 64)": 996 kB kept beside 4 kB of compressed text for a text of 1 MB.

--- a/src/edge/src/Compression.cpp
+++ b/src/edge/src/Compression.cpp
@@ -26,6 +26,8 @@
     if (result != Z_OK)
         throw std::runtime_error("zlib: compress2 failed with " + std::to_string(result));
     bytes.resize(size);
+    // The bound is several times the size, and callers keep the result.
+    bytes.shrink_to_fit();
     return bytes;
 }
 
--- a/src/edge/tests/CompressionTest.cpp
+++ b/src/edge/tests/CompressionTest.cpp
@@ -44,3 +44,10 @@
     damaged.back() = static_cast<char>(damaged.back() ^ 1);
     CHECK_TRUE(decompress(damaged, 1000).has_error());
 }
+
+// Guards against a response to peers that keeps the memory of its buffer, which has the size of the text.
+TEST(Compression, resultHasNoSpareMemory)
+{
+    const std::string bytes = compress(std::string(1'000'000, 'a'));
+    CHECK_COMPARE(bytes.capacity() - bytes.size(), <, 64);
+}
