readBody: no std::function is built for bodies that need none

Each body that was read built an empty std::function for the progress. It is passed by pointer now. No change of behaviour; edge-tests and platform-tests pass. The time saved was not measured.

--- a/src/edge/include/wagtailrack/edge/readBody.h
+++ b/src/edge/include/wagtailrack/edge/readBody.h
@@ -16,12 +16,12 @@
 
 // Reads the rest of a message whose header has been read into `parser`. Its body counts towards the budget of `memory`
 // and is read at the rate that the budget permits, with pauses until `deadline` at the latest. `onProgress`, if not
-// empty, is called with the number of bytes of each part. Sets `failure` to the error of the connection or of the
+// null, is called with the number of bytes of each part. Sets `failure` to the error of the connection or of the
 // message; it is http::error::buffer_overflow when the budget refuses the body.
 template <bool isRequest>
 asio::awaitable<void> readBody(Tcp::socket& socket, boost::beast::flat_buffer& buffer,
     http::parser<isRequest, http::string_body>& parser, TransferBudget::Reservation& memory, SteadyTime deadline,
-    boost::system::error_code& failure, const std::function<void(size_t)>& onProgress = {})
+    boost::system::error_code& failure, const std::function<void(size_t)>* onProgress = nullptr)
 {
     parser.eager(true);
     while (!parser.is_done()) {
@@ -34,7 +34,7 @@
             co_return;
         }
         if (onProgress)
-            onProgress(size);
+            (*onProgress)(size);
         const SteadyTime now = BootTimeClock::now();
         const Milliseconds delay = memory.delayAfterReading(size, now);
         if (delay <= Milliseconds(0))
--- a/src/edge/src/HttpConnectionPool.cpp
+++ b/src/edge/src/HttpConnectionPool.cpp
@@ -196,7 +196,7 @@
     };
     if (!failure)
         co_await readBody(connection->socket, connection->buffer, parser, *call->responseMemory, call->deadline,
-            failure, moveDeadline);
+            failure, &moveDeadline);
     if (failure == http::error::header_limit || failure == http::error::body_limit
         || failure == http::error::buffer_overflow)
         co_return CallOutcome::TooLarge;
