A large request gets 413 or 431 only by limits that are in force

What callers saw: a final 413 or 431 from an instance whose configuration was outdated, while a newer version may allow the request; or by limits of a version that was replaced while the request arrived. Callers do not repeat a request after these.

Cause: handleRefusedRequest() asked only whether any configuration was known when the request began.

Change: 503 with Retry-After and configuration-outdated, as for unknown routes, if the configuration may be outdated or is another one than that whose limits applied.

Evidence, without the change: RequestLimits.largeRequestIsRefusedForGoodOnlyByACurrentConfiguration and requestThatBeganBeforeANewerConfigurationMayComeBack failed with "expected <503> but was <413>". largeRequestsAreRefused passes on both.

--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -56,6 +56,7 @@
 
 constexpr const char* noRouteOutcome = "no-route";
 constexpr const char* noConfigurationOutcome = "no-configuration";
+constexpr const char* outdatedOutcome = "configuration-outdated";
 
 double millisecondsSince(SteadyTime from, SteadyTime to)
 {
@@ -234,7 +235,7 @@
 {
     // A caller does not repeat a request after 404, so that status is only for a route that no version has.
     if (this->dependencies.clusterState.isConfigurationOutdated())
-        this->reject(state, "configuration-outdated", unconfiguredRetryAfterSeconds);
+        this->reject(state, outdatedOutcome, unconfiguredRetryAfterSeconds);
     else
         this->respondWithError(state, http::status::not_found, noRouteOutcome);
 }
@@ -590,9 +591,14 @@
     const char* outcome = toString(refused.reason);
     const bool isTooLarge
         = refused.reason == RefusalReason::HeaderTooLarge || refused.reason == RefusalReason::BodyTooLarge;
-    // The built-in limits are not the operator's: the request may be allowed by the configuration.
-    if (isTooLarge && refused.limits.configurationVersion == 0) {
-        outcome = noConfigurationOutcome;
+    // A caller does not repeat a request after 413 or 431, so these are only for limits that are in force. The built-in
+    // limits are not, nor are those of a version that was replaced while the request arrived.
+    const bool isUnconfigured = refused.limits.configurationVersion == 0;
+    const RoutingTablePointer table = this->dependencies.clusterState.routingTable();
+    const bool isOutdated = this->dependencies.clusterState.isConfigurationOutdated()
+        || (table && table->version() != refused.limits.configurationVersion);
+    if (isTooLarge && (isUnconfigured || isOutdated)) {
+        outcome = isUnconfigured ? noConfigurationOutcome : outdatedOutcome;
         response = makeResponse(
             http::status::service_unavailable, std::string(outcome) + "\n", unconfiguredRetryAfterSeconds);
     }
