--- a/src/edge/include/wagtailrack/edge/ClusterStateCache.h
+++ b/src/edge/include/wagtailrack/edge/ClusterStateCache.h
@@ -23,6 +23,10 @@
 // Header that numbers the calls of an instance to its peers. A peer repeats it in the response, so that a late copy of
 // an earlier response is not taken for the next one.
 inline constexpr const char* peerCallHeader = "Wagtailrack-Peer-Call";
+// Headers of the response to `/operator-items`: the revision of the store up to which the items are current, and the
+// time since they were known to be, in milliseconds. The body depends on neither and is encoded once for many peers.
+inline constexpr const char* operatorItemsRevisionHeader = "Wagtailrack-Operator-Items-Revision";
+inline constexpr const char* operatorItemsAgeHeader = "Wagtailrack-Operator-Items-Age-Ms";
 
 // This instance's copy of the cluster state: the configuration, the evacuations and the records of the backend servers.
 //
@@ -46,6 +50,8 @@
     // Time since the server records were read from the store, by this instance or by the peer that passed them on.
     int64_t serverRecordsAgeMs() const;
     int64_t configurationAgeMs() const { return this->operatorItemsAgeMs(); }
+    // Revision of the store up to which the operator items are current; -1 if none is known.
+    int64_t configurationRevision() const noexcept { return this->operatorItemsRevision; }
     // Whether a newer version than routingTable() may be in force: a peer has one, or neither the store nor a peer has
     // confirmed the copy for some time. A route that is missing from the table may exist then.
     bool isConfigurationOutdated() const;
@@ -57,6 +63,7 @@
     // What a peer knows already: sent with its requests.
     struct PeerCopy {
         uint64_t operatorItemsHash = 0;
+        // Negative if the peer did not tell it.
         int64_t operatorItemsRevision = 0;
         int64_t serverRecordsRevision = 0;
     };
@@ -69,6 +76,7 @@
 private:
     asio::awaitable<void> syncOperatorItems();
     asio::awaitable<void> watchOperatorItems();
+    void endWatch();
     asio::awaitable<void> syncServerRecords();
     asio::awaitable<void> syncWithPeers();
     asio::awaitable<void> maintainRegistration();
@@ -84,10 +92,10 @@
         int64_t revision = 0;
         SteadyTime readAt;
     };
-    void startOperatorItemsFetch(const std::string& address, Currency currency);
-    asio::awaitable<void> fetchOperatorItemsFromPeer(std::string address, Currency currency);
-    // The response body; empty unless the peer answered with status 200.
-    asio::awaitable<std::string> callPeer(std::string address, std::string target);
+    void startOperatorItemsFetch(const std::string& address);
+    asio::awaitable<void> fetchOperatorItemsFromPeer(std::string address);
+    // The response; its body is empty unless the peer answered with status 200 within `maximumTime`.
+    asio::awaitable<HttpResponse> callPeer(std::string address, std::string target, Milliseconds maximumTime);
     bool applyOperatorItemsFromPeer(const Json::Value& section, Currency currency, const std::string& address);
     Json::Value changedOperatorItems(int64_t sinceRevision) const;
     void describeOperatorItems(Json::Value& section, const Json::Value& changedItems) const;
@@ -136,12 +144,23 @@
     SteadyTime operatorItemsReadAt;
     // A watch is pending at the store, which would report a change: the operator items are up to date.
     bool isWatching = false;
+    // When the store began to answer a watch: until the copy is confirmed later than this, it may lack a change.
+    SteadyTime watchAnsweredAt;
     int64_t refusedConfigurationRevision = -1;
     // The changes since the own copy could not be read from the store: the next read lists all operator items.
     bool needsOperatorListing = false;
-    // A fetch of large operator items from a peer is in progress. It makes progress or ends, so that the items are
-    // not requested from other peers or the store meanwhile.
-    bool isFetchingOperatorItems = false;
+    // The peers from which large operator items are being fetched. A further peer is asked only when a fetch is
+    // overdue.
+    std::set<std::string> fetchingPeers;
+    // Until this time a peer is expected to bring the copy up to date, and the store is not asked.
+    SteadyTime fetchExpectedUntil;
+    // After a failed fetch the peer is not asked again for some time, and any other peer for a shorter one.
+    struct FetchPause {
+        SteadyTime endsAt;
+        int failureCount = 0;
+    };
+    std::map<std::string, FetchPause> fetchPauses;
+    SteadyTime nextFetchAt;
     // Highest revision of operator items that differ from the own copy, as peers reported them.
     int64_t reportedOperatorItemsRevision = -1;
     // Set when the changes since the own revision did not lead to the peer's items: the next fetch asks for all items.
--- a/src/edge/src/CallerSession.cpp
+++ b/src/edge/src/CallerSession.cpp
@@ -178,12 +178,12 @@
         const auto requestMemory = std::make_shared<TransferBudget::Reservation>(this->listener.budget);
         if (!failure && !parser.is_done()) {
             // A body may be large and its link slow, but a caller that stops in the middle of it is given up.
-            const auto extendDeadline = [&](size_t /* bytes */) {
+            const std::function<void(size_t)> extendDeadline = [&](size_t /* bytes */) {
                 this->armReadTimer(BootTimeClock::now() + Milliseconds(limits.idleTimeoutMs));
             };
             extendDeadline(0);
             co_await readBody(
-                this->socket, this->buffer, parser, *requestMemory, SteadyTime::max(), failure, extendDeadline);
+                this->socket, this->buffer, parser, *requestMemory, SteadyTime::max(), failure, &extendDeadline);
         }
         this->isReadingRequest = false;
         if (!this->isOpen)
--- a/src/edge/src/ClusterStateCache.cpp
+++ b/src/edge/src/ClusterStateCache.cpp
@@ -14,6 +14,8 @@
 #include <json/writer.h>
 
 #include <algorithm>
+#include <charconv>
+#include <optional>
 
 namespace wagtailrack::edge {
 
@@ -49,6 +51,18 @@
 constexpr int64_t peerTimeoutMs = 600;
 // Longest pause within a response of a peer, which may be large and its link slow.
 constexpr Milliseconds maximumPeerStall(600);
+// Longest poll of the state. A poll holds up those of other peers.
+constexpr Milliseconds maximumPollTime(1500);
+// Longest fetch of operator items. A configuration of 1 MB has about 160 kB compressed, which take 0.13 s on a link of
+// 10 Mbit/s, and many times as long beside other traffic.
+constexpr Milliseconds maximumFetchTime(4000);
+// Longest pause before a peer is asked again after failed fetches. The pause begins with storeRetryDelayMs and doubles
+// with each failure.
+constexpr int64_t maximumFetchPauseMs = 2000;
+// Failures that are counted for the pause, more than lead to the longest one.
+constexpr int maximumFetchFailures = 8;
+// Fetches at the same time: one that is overdue, and one from another peer.
+constexpr size_t maximumFetches = 2;
 // Longest wait for an update after a pause. A call to a peer or to the store of another region takes about 110 ms;
 // while neither answers, requests are forwarded with the stale copy.
 constexpr Milliseconds maximumRefreshTime(500);
@@ -83,6 +97,17 @@
     return value;
 }
 
+// Value of a header of a peer's response; empty unless it is a number that is not negative.
+std::optional<int64_t> integerHeader(const HttpResponse& response, const char* name)
+{
+    const std::string text = headerValue(response.base(), name);
+    int64_t value = -1;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (failure != std::errc() || end != text.data() + text.size() || value < 0)
+        return std::nullopt;
+    return value;
+}
+
 // Hash of the keys and their revisions.
 uint64_t hashOf(const std::map<std::string, StoreItem>& items)
 {
@@ -188,7 +213,7 @@
 bool ClusterStateCache::isConfigurationOutdated() const
 {
     return this->reportedOperatorItemsRevision > this->operatorItemsRevision
-        || this->operatorItemsAgeMs() >= outageThresholdMs;
+        || this->operatorItemsReadAt < this->watchAnsweredAt || this->operatorItemsAgeMs() >= outageThresholdMs;
 }
 
 int64_t ClusterStateCache::serverRecordsAgeMs() const
@@ -268,7 +293,7 @@
     const SteadyTime requestedAt = this->clock.now();
     const std::string prefix = this->codec.layout().operatorPrefix;
     Result<StoreChanges> changes
-        = co_await this->store.watch(prefix, this->operatorItemsRevision, changesReadTimeoutMs);
+        = co_await this->store.watch(prefix, this->operatorItemsRevision, changesReadTimeoutMs, [] {});
     if (!changes) {
         this->recordFailedWatch(changes.error());
         co_return false;
@@ -311,17 +336,28 @@
     co_return true;
 }
 
+void ClusterStateCache::endWatch()
+{
+    this->isWatching = false;
+    this->operatorItemsReadAt = std::max(this->operatorItemsReadAt, this->lastStoreResponseAt);
+    this->watchAnsweredAt = this->clock.now();
+}
+
 asio::awaitable<void> ClusterStateCache::watchOperatorItems()
 {
     const std::string prefix = this->codec.layout().operatorPrefix;
     int64_t revision = this->operatorItemsRevision;
     while (this->isRegionStoreReader()) {
         this->isWatching = true;
-        Result<StoreChanges> changes = co_await this->store.watch(prefix, revision, watchTimeoutMs);
+        Result<StoreChanges> changes
+            = co_await this->store.watch(prefix, revision, watchTimeoutMs, [this] { this->endWatch(); });
         this->isWatching = false;
         if (changes)
             this->recordStoreCall(true, "watch", "");
         if (!changes) {
+            // A response with an error status tells of no change; one that broke off may have.
+            if (changes.error().code != ErrorCode::OutcomeUnknown)
+                this->watchAnsweredAt = SteadyTime();
             this->recordFailedWatch(changes.error());
             co_return;
         }
@@ -337,7 +373,7 @@
         const int64_t ageMs = this->operatorItemsAgeMs();
         if (this->isWaitingForPeers()
             || (!this->isRegionStoreReader() && this->activeRoutingTable
-                && (ageMs < storeFallbackAgeMs || this->isFetchingOperatorItems))) {
+                && (ageMs < storeFallbackAgeMs || this->clock.now() < this->fetchExpectedUntil))) {
             co_await this->sleep(ageCheckIntervalMs);
             continue;
         }
@@ -404,27 +440,32 @@
     }
 }
 
-asio::awaitable<std::string> ClusterStateCache::callPeer(std::string address, std::string target)
+asio::awaitable<HttpResponse> ClusterStateCache::callPeer(
+    std::string address, std::string target, Milliseconds maximumTime)
 {
     const auto call = std::make_shared<Call>();
     call->request = HttpRequest(http::verb::get, target, 11);
     call->request.set(http::field::host, address);
     call->echoHeader = peerCallHeader;
     call->echoValue = std::to_string(++this->peerCallCounter);
+    // Instances of earlier releases do not number their responses.
+    call->echoUse = EchoUse::IfPresent;
     call->request.set(call->echoHeader, call->echoValue);
-    call->deadline = this->clock.now() + Milliseconds(peerTimeoutMs);
+    const SteadyTime now = this->clock.now();
+    call->deadline = now + Milliseconds(peerTimeoutMs);
     call->connectDeadline = call->deadline;
     call->maximumStall = maximumPeerStall;
+    call->latestDeadline = now + maximumTime;
     const Endpoint peer { address, this->settings.stateAddress.port };
     const CallOutcome outcome = co_await this->peerConnections.execute(call, peer);
     const bool isAnswered = outcome == CallOutcome::Answered && call->response.result_int() == 200;
-    co_return isAnswered ? std::move(call->response.body()) : std::string();
+    co_return isAnswered ? std::move(call->response) : HttpResponse();
 }
 
 bool ClusterStateCache::applyOperatorItemsFromPeer(
     const Json::Value& section, Currency currency, const std::string& address)
 {
-    if (!section["hash"].isUInt64() || !section["keys"].isArray())
+    if (!section["hash"].isUInt64())
         return false;
     if (currency.revision <= this->operatorItemsRevision)
         return true;
@@ -439,7 +480,8 @@
     }
     for (StoreItem& item : changed.value())
         items[item.key] = std::move(item);
-    // The changes are relative to the copy of the request, which may have been replaced meanwhile.
+    // The changes are relative to the copy of the request, which may have been replaced meanwhile. Instances of earlier
+    // releases send all items, and no list of keys.
     this->needsAllOperatorItems = hashOf(items) != section["hash"].asUInt64();
     if (this->needsAllOperatorItems)
         return false;
@@ -447,34 +489,60 @@
     return true;
 }
 
-void ClusterStateCache::startOperatorItemsFetch(const std::string& address, Currency currency)
+void ClusterStateCache::startOperatorItemsFetch(const std::string& address)
 {
-    if (this->isFetchingOperatorItems)
+    const SteadyTime now = this->clock.now();
+    const bool isFirst = this->fetchingPeers.empty();
+    const auto pause = this->fetchPauses.find(address);
+    if (now < this->nextFetchAt || (pause != this->fetchPauses.end() && now < pause->second.endsAt))
         return;
-    this->isFetchingOperatorItems = true;
+    if (!isFirst
+        && (now < this->fetchExpectedUntil || this->fetchingPeers.size() >= maximumFetches
+            || this->fetchingPeers.contains(address)))
+        return;
+    this->fetchingPeers.insert(address);
+    if (isFirst)
+        this->fetchExpectedUntil = now + Milliseconds(storeFallbackAgeMs);
     asio::co_spawn(
-        this->context, [this, address, currency] { return this->fetchOperatorItemsFromPeer(address, currency); },
-        [this](const std::exception_ptr& exception) {
-            this->isFetchingOperatorItems = false;
+        this->context, [this, address] { return this->fetchOperatorItemsFromPeer(address); },
+        [this, address](const std::exception_ptr& exception) {
+            this->fetchingPeers.erase(address);
             if (exception)
                 this->log.write(LogCategory::ProcessState, "task-failed", { { "task", "operator-items-fetch" } });
         });
 }
 
-asio::awaitable<void> ClusterStateCache::fetchOperatorItemsFromPeer(std::string address, Currency currency)
+asio::awaitable<void> ClusterStateCache::fetchOperatorItemsFromPeer(std::string address)
 {
     const SteadyTime requestedAt = this->clock.now();
     const int64_t since = this->needsAllOperatorItems ? 0 : this->operatorItemsRevision;
     const std::string target = "/operator-items?since=" + std::to_string(since);
-    const std::string body = co_await this->callPeer(address, target);
+    const HttpResponse response = co_await this->callPeer(address, target, maximumFetchTime);
+    const std::string& body = response.body();
+    // The peer's copy may have changed since the poll, so that the response says itself how current it is.
+    const auto revision = integerHeader(response, operatorItemsRevisionHeader);
+    const auto ageMs = integerHeader(response, operatorItemsAgeHeader);
     const Result<std::string> text = decompress(body, maximumPeerMessageBytes);
     const Result<Json::Value> section
         = text ? version::parseJson(text.value(), address) : Result<Json::Value>(text.error());
-    const bool isApplied
-        = section && section.value().isObject() && this->applyOperatorItemsFromPeer(section.value(), currency, address);
+    const bool isApplied = section && section.value().isObject() && revision && ageMs
+        && this->applyOperatorItemsFromPeer(
+            section.value(), { *revision, requestedAt - Milliseconds(*ageMs) }, address);
+    // The poll that follows confirms the copy, or shows that a change came meanwhile.
+    const SteadyTime endedAt = this->clock.now();
+    this->fetchExpectedUntil = isApplied ? endedAt + Milliseconds(peerPollIntervalMs) : endedAt;
+    if (isApplied) {
+        this->fetchPauses.clear();
+    } else {
+        FetchPause& pause = this->fetchPauses[address];
+        const int64_t pauseMs = std::min(storeRetryDelayMs << pause.failureCount, maximumFetchPauseMs);
+        pause.endsAt = endedAt + Milliseconds(pauseMs);
+        pause.failureCount = std::min(pause.failureCount + 1, maximumFetchFailures);
+        this->nextFetchAt = endedAt + Milliseconds(storeRetryDelayMs);
+    }
     this->log.write(LogCategory::ProcessState, "operator-items-fetched",
         { { "peer", address }, { "since", since }, { "bytes", static_cast<uint64_t>(body.size()) },
-            { "ms", millisecondsBetween(requestedAt, this->clock.now()) },
+            { "ms", millisecondsBetween(requestedAt, endedAt) },
             { "outcome",
                 isApplied          ? "applied"
                     : body.empty() ? "no-answer"
@@ -488,10 +556,10 @@
     const std::string target = "/state?operator=" + std::to_string(this->operatorItemsHash)
         + "&operatorRevision=" + std::to_string(this->needsAllOperatorItems ? 0 : this->operatorItemsRevision)
         + "&servers=" + std::to_string(this->serverRecordsRevision);
-    const std::string body = co_await this->callPeer(address, target);
-    if (body.empty())
+    const HttpResponse response = co_await this->callPeer(address, target, maximumPollTime);
+    if (response.body().empty())
         co_return false;
-    const Result<Json::Value> answer = version::parseJson(body, address);
+    const Result<Json::Value> answer = version::parseJson(response.body(), address);
     if (!answer || !answer.value().isObject()) {
         this->log.write(LogCategory::ProcessState, "peer-answer-invalid", { { "peer", address } });
         co_return false;
@@ -508,11 +576,10 @@
             this->operatorItemsReadAt = std::max(this->operatorItemsReadAt, readAt(operatorSection));
         } else if (revision > this->operatorItemsRevision) {
             this->reportedOperatorItemsRevision = std::max(this->reportedOperatorItemsRevision, revision);
-            const Currency currency { revision, readAt(operatorSection) };
             if (operatorSection.isMember("items"))
-                this->applyOperatorItemsFromPeer(operatorSection, currency, address);
+                this->applyOperatorItemsFromPeer(operatorSection, { revision, readAt(operatorSection) }, address);
             else
-                this->startOperatorItemsFetch(address, currency);
+                this->startOperatorItemsFetch(address);
         }
     }
     const Json::Value& serversSection = answer.value()["servers"];
@@ -771,10 +838,13 @@
         section["revision"] = static_cast<Json::Int64>(this->operatorItemsRevision);
         section["hash"] = static_cast<Json::UInt64>(this->operatorItemsHash);
         section["ageMs"] = static_cast<Json::Int64>(this->operatorItemsAgeMs());
+        // Instances of earlier releases tell no revision, and expect all items here.
+        const bool isEarlierRelease = copy.operatorItemsRevision < 0;
         size_t changedBytes = 0;
         for (const auto& [key, item] : this->operatorItems)
             changedBytes += item.modificationRevision > copy.operatorItemsRevision ? item.value.size() : 0;
-        if (this->operatorItemsHash != copy.operatorItemsHash && changedBytes <= maximumInlineBytes)
+        if (this->operatorItemsHash != copy.operatorItemsHash
+            && (isEarlierRelease || changedBytes <= maximumInlineBytes))
             this->describeOperatorItems(section, this->changedOperatorItems(copy.operatorItemsRevision));
     }
     if (this->hasServerRecords) {
--- a/src/edge/src/HttpConnectionPool.cpp
+++ b/src/edge/src/HttpConnectionPool.cpp
@@ -39,6 +39,15 @@
     return timeoutSeconds;
 }
 
+// Returns whether the response belongs to the call's request.
+bool isEchoAccepted(const Call& call, const HttpResponse& response)
+{
+    if (call.echoHeader.empty())
+        return true;
+    const std::string value = headerValue(response.base(), call.echoHeader);
+    return value == call.echoValue || (value.empty() && call.echoUse == EchoUse::IfPresent);
+}
+
 // Progress of sending a request. The request is sent while the response is read, so that an early response does not
 // wait for a long request body.
 struct SendProgress {
@@ -173,18 +182,21 @@
     error_code failure;
     co_await http::async_read_header(
         connection->socket, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure && call->onResponseHead)
+        call->onResponseHead();
     size_t unreportedBytes = 0;
     const std::function<void(size_t)> moveDeadline = [&](size_t bytes) {
         unreportedBytes += bytes;
         if (call->maximumStall <= Milliseconds(0) || unreportedBytes < minimumProgressBytes)
             return;
         unreportedBytes = 0;
-        call->deadline = std::max(call->deadline, BootTimeClock::now() + call->maximumStall);
+        const SteadyTime extended = std::min(BootTimeClock::now() + call->maximumStall, call->latestDeadline);
+        call->deadline = std::max(call->deadline, extended);
         connection->armTimer(call->deadline);
     };
     if (!failure)
         co_await readBody(connection->socket, connection->buffer, parser, *call->responseMemory, call->deadline,
-            failure, moveDeadline);
+            failure, &moveDeadline);
     if (failure == http::error::header_limit || failure == http::error::body_limit
         || failure == http::error::buffer_overflow)
         co_return CallOutcome::TooLarge;
@@ -220,7 +232,7 @@
         // An interim response (1xx) is followed by the final response.
         if (parser.get().result_int() < 200)
             continue;
-        if (!call->echoHeader.empty() && headerValue(parser.get().base(), call->echoHeader) != call->echoValue)
+        if (!isEchoAccepted(*call, parser.get()))
             continue;
         // Bytes after the response belong to no request, and a request body that is still being sent must not be
         // interrupted by the next request. In both cases the connection is not reused.
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -599,10 +599,14 @@
     const char* outcome = toString(refused.reason);
     const bool isTooLarge
         = refused.reason == RefusalReason::HeaderTooLarge || refused.reason == RefusalReason::BodyTooLarge;
-    const bool isConfigured = refused.limits.configurationVersion != 0;
-    // Built-in limits and those of an outdated version are not the current ones, which may allow the request.
-    if (isTooLarge && (!isConfigured || this->dependencies.clusterState.isConfigurationOutdated())) {
-        outcome = isConfigured ? configurationOutdatedOutcome : noConfigurationOutcome;
+    // A caller does not repeat a request after 413 or 431, so these are only for limits that are in force. The built-in
+    // limits are not, nor are those of a version that was replaced while the request arrived.
+    const bool isUnconfigured = refused.limits.configurationVersion == 0;
+    const RoutingTablePointer table = this->dependencies.clusterState.routingTable();
+    const bool isOutdated = this->dependencies.clusterState.isConfigurationOutdated()
+        || (table && table->version() != refused.limits.configurationVersion);
+    if (isTooLarge && (isUnconfigured || isOutdated)) {
+        outcome = isUnconfigured ? noConfigurationOutcome : configurationOutdatedOutcome;
         response = makeResponse(
             http::status::service_unavailable, std::string(outcome) + "\n", unconfiguredRetryAfterSeconds);
     }
