A SIGHUP during the start of an instance does not end it

Cause: until EdgeNode installs its handler, SIGHUP has its default action, which ends the process. The file is read and checked before that.

Change: `wagtailrack edge` ignores SIGHUP from its first instructions on until the node handles it. Nothing is lost by that, since the settings are read again at intervals as well.

Not changed: between exec and the first instruction of main() the default action still applies, as for any program, and SIGTERM before the handler is installed ends the process with signal 15; no request has been read then.

--- a/src/command/src/runEdge.cpp
+++ b/src/command/src/runEdge.cpp
@@ -19,6 +19,9 @@
     cxxopts::Options options("wagtailrack edge", "Runs an instance on the users' platform until SIGTERM or SIGINT.");
     options.add_options()("settings", "settings file; by default the one that the environment names",
         cxxopts::value<std::string>())("check", "read the settings and end");
+    // The default action would end the process. Until the node handles it, nothing is lost: the settings are read again
+    // at intervals as well.
+    std::signal(SIGHUP, SIG_IGN);
     const ParsedOptions parsed = parseOptions(options, argumentCount, arguments);
     if (!parsed.options)
         return parsed.exitCode;
--- a/testbed/harness/ChildProcess.cpp
+++ b/testbed/harness/ChildProcess.cpp
@@ -60,6 +60,8 @@
 
 void ChildProcess::resume() const noexcept { this->signal(SIGCONT); }
 
+void ChildProcess::reload() const noexcept { this->signal(SIGHUP); }
+
 std::optional<int> ChildProcess::waitForExit(SteadyTime deadline)
 {
     constexpr Milliseconds pollInterval { 10 };
--- a/testbed/harness/ChildProcess.h
+++ b/testbed/harness/ChildProcess.h
@@ -31,6 +31,7 @@
     void kill() const noexcept; // SIGKILL
     void freeze() const noexcept; // SIGSTOP
     void resume() const noexcept; // SIGCONT
+    void reload() const noexcept; // SIGHUP
 
     // Exit code, or minus the signal's number; nothing when it still runs at the deadline.
     std::optional<int> waitForExit(SteadyTime deadline);
