Stand-ins of the platform's store and servers as processes

The fake store of the platform's tests moves to platform/testbed, where the tests and `wagtailrack-testbed platform-store` use it.

--- a/testbed/src/main.cpp
+++ b/testbed/src/main.cpp
@@ -9,11 +9,16 @@
 #include "standins/runInstanceList.h"
 #include "standins/runStore.h"
 
+#include <testbed/runPlatformServer.h>
+#include <testbed/runPlatformStore.h>
+
 #include <iostream>
 #include <string>
 #include <vector>
 
 using namespace wagtailrack::testbed;
+using wagtailrack::platform::runPlatformServer;
+using wagtailrack::platform::runPlatformStore;
 
 int main(int argumentCount, char** arguments)
 {
@@ -23,6 +28,8 @@
         { "proxy", "forward TCP connections and inject faults", &runProxy },
         { "backend", "runs one simulated backend server", &runBackend },
         { "store", "serve a simulated key-value store", &runStore },
+        { "platform-store", "serve a fake of the platform's store", &runPlatformStore },
+        { "platform-server", "run one fake backend server of the platform", &runPlatformServer },
         { "instance-list", "serve a simulated list of instances", &runInstanceList },
         { "measure-control", "measure the cost of the control plane", &measureControl },
         { "lookup-bench", "measures the look-ups of one running instance", &runLookupBench },
