A seeded fault soak of wagtailrack edge

Callers send at a constant rate over kept and new connections; open connections are used until the instance closes them. The seed alone draws the faults, which are printed: SIGTERM, SIGHUP, SIGSTOP and SIGKILL in series and overlapping; the store down, slow, losing responses, without history, or turning instances away; servers that crash, drain or leave; links cut, delayed, silent or reset; versions that add up to 3,000 routes, and evacuations. A quarter of the seeds has planned work alone.

From what callers and servers saw it checks TWICE, UNASKED, ROUTE, BUDGET (runs of an attempt), MIXED, REFUSED, DENIED, LOST, CONFIG, DRAIN, EVAC, exit codes and the grace period, processes that end by themselves, and RECOVER. Bounds are those that the deployments state.

DRAIN and EVAC are measured from a request's arrival, as the rule says; the ledger has the begin of the run as well.

--- a/testbed/src/main.cpp
+++ b/testbed/src/main.cpp
@@ -11,6 +11,7 @@
 
 #include <testbed/runPlatformServer.h>
 #include <testbed/runPlatformStore.h>
+#include <testbed/runSoak.h>
 
 #include <iostream>
 #include <string>
@@ -19,6 +20,7 @@
 using namespace wagtailrack::testbed;
 using wagtailrack::platform::runPlatformServer;
 using wagtailrack::platform::runPlatformStore;
+using wagtailrack::platform::runSoak;
 
 int main(int argumentCount, char** arguments)
 {
@@ -30,6 +32,7 @@
         { "store", "serve a simulated key-value store", &runStore },
         { "platform-store", "serve a fake of the platform's store", &runPlatformStore },
         { "platform-server", "run one fake backend server of the platform", &runPlatformServer },
+        { "soak", "run instances of the platform under randomized faults", &runSoak },
         { "instance-list", "serve a simulated list of instances", &runInstanceList },
         { "measure-control", "measure the cost of the control plane", &measureControl },
         { "lookup-bench", "measures the look-ups of one running instance", &runLookupBench },
