--- a/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
+++ b/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/parser.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -70,6 +71,13 @@
     OpenNew,
 };
 
+// Which responses of a call with an `echoHeader` are accepted.
+enum class EchoUse {
+    WithValue,
+    // Also responses without the header.
+    IfPresent,
+};
+
 // An HTTP request and the result of sending it. Can be cancelled while it is in progress.
 struct Call {
     HttpRequest request;
@@ -79,10 +87,15 @@
     // If positive, the body may take longer than `deadline` as long as it keeps arriving: each part of it moves the
     // deadline to this long after its arrival. For large responses, whose duration depends on the link.
     Milliseconds maximumStall { 0 };
+    // The deadline is not moved beyond this time, so that a response that trickles ends.
+    SteadyTime latestDeadline = SteadyTime::max();
     // Name and value of a header that the response must repeat; other responses are skipped. With an empty name, any
     // response is accepted.
     std::string echoHeader;
     std::string echoValue;
+    EchoUse echoUse = EchoUse::WithValue;
+    // Called when the head of a response has arrived.
+    std::function<void()> onResponseHead;
 
     // Results.
     HttpResponse response;
