EdgeNode: logs which request a server was running when it crashed

What callers saw: servers ended one after the other, and the log could not tell why.

CrashDetector keeps each attempt that ended without any response until a connection to its server is refused (one is opened for this), the server's record is removed or replaced, or the server responds again. event=server-crashed names server, request and evidence; event=request has the request's fingerprint; wagtailrack_server_crashes_total counts.

No decision depends on it yet.

--- a/src/edge/include/wagtailrack/edge/EdgeNode.h
+++ b/src/edge/include/wagtailrack/edge/EdgeNode.h
@@ -73,6 +73,7 @@
     process::Metrics metrics;
     InstanceMembership membership;
     BackendFleet fleet;
+    CrashDetector crashDetector;
     ShiftLimiter shiftLimiter;
     LoadExchange loadExchange;
     // Messages of callers and servers, and responses of peers: neither can take the memory of the other.
--- a/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
+++ b/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
@@ -103,8 +103,11 @@
     ReservationPointer responseMemory;
     // Whether any byte of the request may have been sent.
     bool isPossiblySent = false;
+    // Whether any byte has arrived after the request was sent.
+    bool hasResponseStarted = false;
     // Time in which a new connection was established; zero if an idle connection was reused.
     double connectDurationMs = 0;
+    boost::system::error_code connectFailure;
 
     // Closes the connection, so that the call soon ends with CallOutcome::Cancelled.
     void cancel();
@@ -112,6 +115,15 @@
     ClientConnectionPointer connection;
 };
 
+// What an attempt to connect shows about the process at an address.
+enum class Reachability {
+    Listening,
+    // The connection was refused: no process listens at the address.
+    Refused,
+    // Nothing answered in time.
+    Unknown,
+};
+
 // Sends HTTP requests and keeps idle connections for reuse, by server address. Lives as long as the process; used by
 // the event loop's thread only.
 class HttpConnectionPool {
@@ -126,6 +138,9 @@
     // reused.
     asio::awaitable<CallOutcome> execute(std::shared_ptr<Call> call, Endpoint server);
 
+    // Opens a connection to `server` and closes it again.
+    asio::awaitable<Reachability> probe(Endpoint server, SteadyTime deadline);
+
     // Closes the idle connections to `server` and ends keepPreconnected() for it.
     void closeIdleConnections(const Endpoint& server);
     // Returns whether a call with ConnectionUse::ReuseIdle is likely to find an idle connection. The connection may
@@ -139,6 +154,7 @@
 
 private:
     ClientConnectionPointer acquireIdleConnection(const Endpoint& server);
+    // `call->connectFailure` tells why the connection was not established.
     asio::awaitable<CallOutcome> connect(std::shared_ptr<Call> call, const Endpoint& server);
     asio::awaitable<CallOutcome> sendAndReceive(std::shared_ptr<Call> call);
     void releaseConnection(const std::shared_ptr<Call>& call, const Endpoint& server);
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -3,6 +3,7 @@
 #include <wagtailrack/edge/BackendFleet.h>
 #include <wagtailrack/edge/CallerSession.h>
 #include <wagtailrack/edge/ClusterStateCache.h>
+#include <wagtailrack/edge/CrashDetector.h>
 #include <wagtailrack/edge/EdgeSettings.h>
 #include <wagtailrack/edge/EventLog.h>
 #include <wagtailrack/edge/HttpConnectionPool.h>
@@ -30,6 +31,7 @@
     ShiftLimiter& shiftLimiter;
     InstanceMembership& membership;
     HttpConnectionPool& serverConnections;
+    CrashDetector& crashDetector;
     process::Metrics& metrics;
     EventLog& log;
 };
@@ -62,6 +64,7 @@
         RoutingTablePointer routingTable;
         RouteRule rule;
         std::string requestId;
+        RequestFingerprint fingerprint = 0;
         std::string affinityKey;
         std::string serviceName;
         SteadyTime deadline;
@@ -104,6 +107,9 @@
     // `durationMs` is the duration of the attempt without the time to connect and the network round trip.
     void recordProcessingTime(
         const ForwardingState& state, BackendServer& server, const PlacementChoice& choice, double durationMs);
+    // Finds out whether the server of an attempt that ended without a response has ended.
+    void investigateBrokenAttempt(const ForwardingState& state, const BackendServerPointer& server, SteadyTime sentAt);
+    asio::awaitable<void> probeServer(BackendServerPointer server);
     void recordRoundTrip(const BackendServer& server, const Call& call);
     void recordServerLoad(BackendServer& server, const HttpResponse& response);
     void reject(ForwardingState& state, const char* reason, double retryAfterSeconds);
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -118,6 +118,7 @@
     , log(this->clock, this->settings.name, STDOUT_FILENO)
     , membership(this->clock, makeOwnHeartbeat(this->settings, this->clock))
     , fleet(this->clock, this->settings.regionOfDomain)
+    , crashDetector(this->clock)
     , shiftLimiter(this->clock)
     , loadExchange(this->clock, this->settings, this->fleet, this->shiftLimiter, this->membership)
     , requestBudget(transferLimitsFor(this->settings.memoryBytes, this->settings.linkMegabitsPerSecond * 1e6))
@@ -126,8 +127,9 @@
     , peerConnections(context, peerIdleTimeout, peerTcpUserTimeoutMs, this->peerBudget)
     , clusterState(context, this->clock, this->settings, store, codec, this->fleet, this->membership,
           this->peerConnections, this->metrics, this->log)
-    , forwarder({ context, this->clock, this->settings, this->headers, this->clusterState, this->fleet,
-          this->shiftLimiter, this->membership, this->serverConnections, this->metrics, this->log })
+    , forwarder(
+          { context, this->clock, this->settings, this->headers, this->clusterState, this->fleet, this->shiftLimiter,
+              this->membership, this->serverConnections, this->crashDetector, this->metrics, this->log })
     , localHandler(std::make_unique<LocalHandler>(*this))
     , callerListener(context, this->forwarder, this->requestBudget)
     , lookupListener(context, *this->localHandler, this->localRequestBudget)
@@ -144,10 +146,21 @@
 {
     this->fleet.setLeavingHook([this](const BackendServer& server, const char* reason) {
         this->serverConnections.closeIdleConnections(server.record.address);
+        // A draining server runs on.
+        if (server.record.state == version::ServerState::Active)
+            this->crashDetector.recordRemoval(server);
         this->log.write(LogCategory::ProcessState, "server-leaving",
             { { "server", server.record.id }, { "service", server.record.service }, { "reason", reason },
                 { "servers_age_ms", this->clusterState.serverRecordsAgeMs() } });
     });
+    this->crashDetector.setCrashHook(
+        [this](const ServerCrash& crash, const BackendServer& server, const char* evidence) {
+            this->metrics.count("wagtailrack_server_crashes_total", "service=\"" + server.record.service + "\"");
+            this->log.write(LogCategory::ProcessState, "server-crashed",
+                { { "server", server.record.id }, { "service", server.record.service },
+                    { "request", toString(crash.request) }, { "evidence", evidence },
+                    { "ran_ms", std::chrono::duration_cast<Milliseconds>(crash.endedAt - crash.sentAt).count() } });
+        });
     const std::array<std::pair<CallerListener*, Endpoint>, 4> listeners { {
         { &this->callerListener, this->settings.callerAddress },
         { &this->lookupListener, this->settings.lookupAddress },
--- a/src/edge/src/HttpConnectionPool.cpp
+++ b/src/edge/src/HttpConnectionPool.cpp
@@ -156,7 +156,7 @@
     const ClientConnectionPointer connection = call->connection;
     const SteadyTime startedAt = BootTimeClock::now();
     connection->armTimer(std::min(call->connectDeadline, call->deadline));
-    error_code failure;
+    error_code& failure = call->connectFailure;
     const Tcp::endpoint endpoint = toTcpEndpoint(server);
     co_await connection->socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, failure));
     connection->disarmTimer();
@@ -182,6 +182,7 @@
     error_code failure;
     co_await http::async_read_header(
         connection->socket, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+    call->hasResponseStarted = call->hasResponseStarted || parser.got_some();
     if (!failure && call->onResponseHead)
         call->onResponseHead();
     size_t unreportedBytes = 0;
@@ -312,6 +313,18 @@
     co_return outcome;
 }
 
+asio::awaitable<Reachability> HttpConnectionPool::probe(Endpoint server, SteadyTime deadline)
+{
+    const auto call = std::make_shared<Call>();
+    call->connectDeadline = call->deadline = deadline;
+    const CallOutcome outcome = co_await this->connect(call, server);
+    if (outcome != CallOutcome::Answered)
+        co_return call->connectFailure == asio::error::connection_refused ? Reachability::Refused
+                                                                          : Reachability::Unknown;
+    call->connection->close();
+    co_return Reachability::Listening;
+}
+
 void HttpConnectionPool::closeIdleConnections(const Endpoint& server)
 {
     this->preconnectedUntil.erase(server);
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -2,6 +2,8 @@
 
 #include <wagtailrack/base/Hash.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -253,6 +255,10 @@
     const HttpRequest& request = state.exchange->request;
     const EdgeHeaderNames& headers = this->dependencies.headers;
     state.requestId = headerValue(request.base(), headers.requestId);
+    const auto method = request.method_string();
+    const auto target = request.target();
+    state.fingerprint = fingerprintOf(headerValue(request.base(), "Host"), { method.data(), method.size() },
+        { target.data(), target.size() }, request.body());
     state.deadline = state.exchange->arrivedAt + Milliseconds(1000);
     if (this->isDraining && state.exchange->arrivedAt >= this->acceptUntil) {
         this->reject(state, "stopping", 0);
@@ -406,8 +412,11 @@
     switch (outcome) {
     case CallOutcome::Answered:
         ++state.sendCount;
+        this->dependencies.crashDetector.recordResponse(*server, sentAt);
         co_return this->handleResponse(state, *server, choice, *call, durationMs);
     case CallOutcome::ConnectFailed:
+        if (call->connectFailure == asio::error::connection_refused)
+            this->dependencies.crashDetector.recordRefusedConnection(*server);
         this->dependencies.fleet.endAttempt(*server, AttemptOutcome::Unreachable);
         this->dependencies.serverConnections.closeIdleConnections(address);
         ++state.connectFailureCount;
@@ -424,6 +433,8 @@
         co_return NextStep::Finish;
     case CallOutcome::TimedOut:
         ++state.sendCount;
+        if (!call->hasResponseStarted)
+            this->dependencies.crashDetector.recordBrokenAttempt(*server, state.fingerprint, sentAt);
         this->dependencies.fleet.endAttempt(*server, AttemptOutcome::BrokenResponse);
         this->dependencies.fleet.recordDuration(
             *server, durationMs, choice.expectedWaitMs + choice.expectedProcessingMs);
@@ -435,6 +446,8 @@
     }
     ++state.sendCount;
     state.isPossiblyExecuted = true;
+    if (!call->hasResponseStarted)
+        this->investigateBrokenAttempt(state, server, sentAt);
     this->dependencies.fleet.endAttempt(*server, AttemptOutcome::BrokenResponse);
     if (!isIdempotent) {
         this->respondWithError(state, http::status::bad_gateway, "outcome-unknown");
@@ -463,6 +476,24 @@
     return NextStep::Finish;
 }
 
+void RequestForwarder::investigateBrokenAttempt(
+    const ForwardingState& state, const BackendServerPointer& server, SteadyTime sentAt)
+{
+    if (!this->dependencies.crashDetector.recordBrokenAttempt(*server, state.fingerprint, sentAt))
+        return;
+    asio::co_spawn(
+        this->dependencies.context, [this, server] { return this->probeServer(server); }, asio::detached);
+}
+
+asio::awaitable<void> RequestForwarder::probeServer(BackendServerPointer server)
+{
+    const SteadyTime deadline = this->dependencies.clock.now() + otherRegionConnectTimeout;
+    const Reachability reachability
+        = co_await this->dependencies.serverConnections.probe(server->record.address, deadline);
+    if (reachability == Reachability::Refused)
+        this->dependencies.crashDetector.recordRefusedConnection(*server);
+}
+
 void RequestForwarder::recordRoundTrip(const BackendServer& server, const Call& call)
 {
     if (call.connectDurationMs <= 0 || server.region == this->dependencies.settings.region)
@@ -573,8 +604,8 @@
     const bool isSealed
         = state.isServerResponse && !headerValue(response.base(), this->dependencies.headers.responseSeal).empty();
     this->countResponse(response.result_int(), state.isServerResponse ? "server" : "instance");
-    std::vector<LogField> fields { { "id", state.requestId }, { "route", state.rule.name },
-        { "version", state.routingTable ? state.routingTable->version() : 0 },
+    std::vector<LogField> fields { { "id", state.requestId }, { "request", toString(state.fingerprint) },
+        { "route", state.rule.name }, { "version", state.routingTable ? state.routingTable->version() : 0 },
         { "configuration_age_ms", this->configurationAgeMs() }, { "service", state.serviceName },
         { "server", state.lastServerId }, { "sends", state.sendCount },
         { "connect_failures", state.connectFailureCount }, { "last_end", state.lastCallOutcome },
