Requests that crash servers are refused by all instances after two crashes

What callers saw: a request that crashes each server which runs it took one server after the other, and with them the other requests that these were running.

Cause: `wagtailrack edge` kept no account of such requests. CrashGuard, which does, belongs to `wagtailrack serve`, and its messages and limits (two deaths, ten minutes, no view of other causes) go with that. Class of the fault: a protection of the product that was not carried over to the users' platform, and that nothing there could show as missing.

CrashQuarantine decides from the crashes that CrashDetector finds here and those that other instances report: one crash makes a request a suspect, whose copies are tried one after the other; two that count put it in quarantine. A response to any copy acquits it; crashes with other probable causes count half, and copies that were already running not at all, so that power failures and servers that crash by themselves blame no harmless request. QuarantineExchange tells all instances at once by datagram, repeats it in summaries, and keeps the list in the store, for instances that start later or reach no other. Refused copies get 503, not run; those whose server ended 502.

--- a/src/edge/include/wagtailrack/edge/ClusterCodec.h
+++ b/src/edge/include/wagtailrack/edge/ClusterCodec.h
@@ -15,6 +15,7 @@
     std::string operatorPrefix;
     std::string serverPrefix;
     std::string instancePrefix;
+    std::string quarantinePrefix;
 };
 
 // Decodes keys and values that operators and servers wrote to the store. Stateless; lives for the process.
--- a/src/edge/include/wagtailrack/edge/ClusterStateCache.h
+++ b/src/edge/include/wagtailrack/edge/ClusterStateCache.h
@@ -58,6 +58,8 @@
     // Returns true for a short time after a pause of the process in which the copy has become stale: servers may have
     // left and failure domains may have been evacuated meanwhile, so that requests should wait for the next update.
     bool isRefreshingAfterPause() const;
+    // Whether this instance reads the store for the other instances of its region.
+    bool isRegionStoreReader() const;
     bool isReady() const noexcept { return this->activeRoutingTable != nullptr && this->hasServerRecords; }
 
     // What a peer knows already: sent with its requests.
@@ -124,7 +126,6 @@
     bool isWaitingForPeers() const;
     std::string regionStoreReader() const;
     std::string nextPeer();
-    bool isRegionStoreReader() const;
 
     asio::io_context& context;
     const Clock& clock;
--- a/src/edge/include/wagtailrack/edge/EdgeNode.h
+++ b/src/edge/include/wagtailrack/edge/EdgeNode.h
@@ -7,6 +7,7 @@
 #include <wagtailrack/edge/InstanceMembership.h>
 #include <wagtailrack/edge/LoadExchange.h>
 #include <wagtailrack/edge/MetadataStore.h>
+#include <wagtailrack/edge/QuarantineExchange.h>
 #include <wagtailrack/edge/RequestForwarder.h>
 
 #include <boost/asio/io_context.hpp>
@@ -52,12 +53,19 @@
 
     HttpResponse handleLocalRequest(const HttpRequest& request);
     HttpResponse handleLookup(const std::string& query);
+    // The requests that crash servers, as JSON; and the end of a quarantine by an operator.
+    HttpResponse listQuarantine() const;
+    HttpResponse clearQuarantine(const std::string& query);
+    // Counters and gauges in the text format of Prometheus.
+    std::string renderMetrics();
+    void installCrashHooks();
     void sendHeartbeats();
     void sendDatagram(uint32_t target, const std::string& bytes);
     asio::awaitable<void> runHeartbeatLoop();
     asio::awaitable<void> receiveDatagrams();
     asio::awaitable<void> runLoadExchangeLoop();
     asio::awaitable<void> runMaintenanceLoop();
+    asio::awaitable<void> runQuarantineLoop();
     asio::awaitable<void> handleSignals();
     asio::awaitable<void> drainAndStop();
     void reloadSettings(const char* cause);
@@ -74,6 +82,7 @@
     InstanceMembership membership;
     BackendFleet fleet;
     CrashDetector crashDetector;
+    CrashQuarantine crashQuarantine;
     ShiftLimiter shiftLimiter;
     LoadExchange loadExchange;
     // Messages of callers and servers, and responses of peers: neither can take the memory of the other.
@@ -83,6 +92,7 @@
     TransferBudget localRequestBudget { TransferLimits {} };
     HttpConnectionPool serverConnections;
     HttpConnectionPool peerConnections;
+    QuarantineExchange quarantineExchange;
     ClusterStateCache clusterState;
     RequestForwarder forwarder;
     std::unique_ptr<LocalHandler> localHandler;
@@ -90,7 +100,7 @@
     CallerListener lookupListener;
     CallerListener readinessListener;
     CallerListener peerListener;
-    // Carries heartbeats and messages of the load exchange.
+    // Carries heartbeats and messages of the load exchange and of the quarantine exchange.
     asio::ip::udp::socket datagramSocket;
     asio::signal_set signalSet;
     bool isDraining = false;
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -4,6 +4,7 @@
 #include <wagtailrack/edge/CallerSession.h>
 #include <wagtailrack/edge/ClusterStateCache.h>
 #include <wagtailrack/edge/CrashDetector.h>
+#include <wagtailrack/edge/CrashQuarantine.h>
 #include <wagtailrack/edge/EdgeSettings.h>
 #include <wagtailrack/edge/EventLog.h>
 #include <wagtailrack/edge/HttpConnectionPool.h>
@@ -32,6 +33,7 @@
     InstanceMembership& membership;
     HttpConnectionPool& serverConnections;
     CrashDetector& crashDetector;
+    CrashQuarantine& crashQuarantine;
     process::Metrics& metrics;
     EventLog& log;
 };
@@ -71,9 +73,16 @@
         // Whether the caller sends the request again, after it was rejected or failed.
         bool isReturning = false;
         std::set<const BackendServer*> excludedServers;
+        // Whether the request may be sent although it is suspected of crashing servers; until it has been sent.
+        bool isSendGranted = false;
+        // Until when the request waits for another copy of it that is being tried; the epoch: it does not wait.
+        SteadyTime waitsUntil;
         // Number of times that the request was sent, and number of failed connection attempts.
         int sendCount = 0;
         int connectFailureCount = 0;
+        // Whether the connection of an attempt ended without a response: further attempts open a new connection, which
+        // shows that their server has not ended with the first one's.
+        bool needsNewConnection = false;
         // Whether a server may have executed the request without returning a successful response.
         bool isPossiblyExecuted = false;
         // Error response of a server, returned to the caller if no later attempt succeeds.
@@ -95,6 +104,9 @@
     };
 
     asio::awaitable<void> forwardRequest(ForwardingState& state);
+    // Applies the quarantine to a request that is to be sent. Rejects it if the result is Refuse.
+    SendDecision checkQuarantine(ForwardingState& state);
+    asio::awaitable<void> pause(Milliseconds duration);
     asio::awaitable<NextStep> attemptSend(ForwardingState& state, PlacementChoice choice);
     NextStep handleResponse(
         ForwardingState& state, BackendServer& server, const PlacementChoice& choice, Call& call, double durationMs);
@@ -103,16 +115,21 @@
     void finishAfterFailure(ForwardingState& state, const char* reason);
     NextStep retryOrFinish(ForwardingState& state);
     bool prepareRequest(ForwardingState& state);
+    static ConnectionUse connectionUseOf(const ForwardingState& state);
     std::shared_ptr<Call> makeCall(const ForwardingState& state, const BackendServer& server) const;
     // `durationMs` is the duration of the attempt without the time to connect and the network round trip.
     void recordProcessingTime(
         const ForwardingState& state, BackendServer& server, const PlacementChoice& choice, double durationMs);
     // Finds out whether the server of an attempt that ended without a response has ended.
-    void investigateBrokenAttempt(const ForwardingState& state, const BackendServerPointer& server, SteadyTime sentAt);
+    void investigateBrokenAttempt(
+        const ForwardingState& state, const BackendServerPointer& server, const Call& call, SteadyTime sentAt);
     asio::awaitable<void> probeServer(BackendServerPointer server);
     void recordRoundTrip(const BackendServer& server, const Call& call);
     void recordServerLoad(BackendServer& server, const HttpResponse& response);
+    // Rejects the request as not executed, with a Retry-After of at most a third of the time that its caller has left.
     void reject(ForwardingState& state, const char* reason, double retryAfterSeconds);
+    // As reject(), with a Retry-After that may be longer than the caller waits.
+    void rejectFor(ForwardingState& state, const char* reason, double seconds);
     void respondWithError(ForwardingState& state, http::status status, const char* reason);
     void refuseUnknownRoute(ForwardingState& state);
     void forwardResponse(ForwardingState& state, HttpResponse response, const char* outcome);
--- a/src/edge/src/CrashDetector.cpp
+++ b/src/edge/src/CrashDetector.cpp
@@ -3,6 +3,7 @@
 #include <wagtailrack/base/Hash.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cstdio>
 
 namespace wagtailrack::edge {
@@ -20,6 +21,21 @@
     return digits;
 }
 
+std::optional<RequestFingerprint> parseFingerprint(std::string_view digits) noexcept
+{
+    RequestFingerprint fingerprint = 0;
+    const auto [end, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), fingerprint, 16);
+    if (failure != std::errc() || end != digits.data() + digits.size() || digits.empty())
+        return std::nullopt;
+    return fingerprint;
+}
+
+const char* toString(CrashEvidence evidence) noexcept
+{
+    static constexpr const char* names[] = { "connection-refused", "record-removed" };
+    return names[static_cast<int>(evidence)];
+}
+
 ServerLifetime lifetimeOf(const ServerRecord& record) noexcept
 {
     return hash64(record.id, static_cast<uint64_t>(record.startedAtMs));
@@ -34,7 +50,8 @@
     std::erase_if(this->openAttempts, [](const auto& entry) { return entry.second.empty(); });
 }
 
-bool CrashDetector::recordBrokenAttempt(const BackendServer& server, RequestFingerprint request, SteadyTime sentAt)
+bool CrashDetector::recordBrokenAttempt(
+    const BackendServer& server, RequestFingerprint request, SteadyTime sentAt, bool isOnNewConnection)
 {
     if (server.isLeaving)
         return false;
@@ -42,7 +59,11 @@
     if (this->openAttemptCount >= maximumOpenAttempts)
         return false;
     const ServerLifetime lifetime = lifetimeOf(server.record);
-    this->openAttempts[lifetime].push_back({ request, lifetime, sentAt, this->clock.now() });
+    std::vector<ServerCrash>& attempts = this->openAttempts[lifetime];
+    // An attempt that was sent after another one had ended without a response may never have reached the server.
+    if (!isOnNewConnection && !attempts.empty() && sentAt > attempts.front().endedAt)
+        return true;
+    attempts.push_back({ request, lifetime, sentAt, this->clock.now(), isOnNewConnection });
     ++this->openAttemptCount;
     return true;
 }
@@ -60,7 +81,7 @@
         this->openAttempts.erase(found);
 }
 
-void CrashDetector::confirm(const BackendServer& server, const char* evidence)
+void CrashDetector::confirm(const BackendServer& server, CrashEvidence evidence)
 {
     if (this->openAttempts.empty())
         return;
@@ -68,10 +89,11 @@
     const auto found = this->openAttempts.find(lifetimeOf(server.record));
     if (found == this->openAttempts.end())
         return;
-    const std::vector<ServerCrash> crashes = std::move(found->second);
+    std::vector<ServerCrash> crashes = std::move(found->second);
     this->openAttempts.erase(found);
     this->openAttemptCount -= crashes.size();
-    for (const ServerCrash& crash : crashes) {
+    for (ServerCrash& crash : crashes) {
+        crash.isSilent = evidence == CrashEvidence::RecordRemoved;
         if (this->crashHook)
             this->crashHook(crash, server, evidence);
     }
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -76,6 +76,18 @@
     return {};
 }
 
+std::string encodeJson(const Json::Value& value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+int64_t millisecondsBetween(SteadyTime from, SteadyTime to)
+{
+    return std::chrono::duration_cast<Milliseconds>(to - from).count();
+}
+
 uint64_t parseUnsigned(const std::string& text)
 {
     uint64_t value = 0;
@@ -119,17 +131,19 @@
     , membership(this->clock, makeOwnHeartbeat(this->settings, this->clock))
     , fleet(this->clock, this->settings.regionOfDomain)
     , crashDetector(this->clock)
+    , crashQuarantine(this->clock)
     , shiftLimiter(this->clock)
     , loadExchange(this->clock, this->settings, this->fleet, this->shiftLimiter, this->membership)
     , requestBudget(transferLimitsFor(this->settings.memoryBytes, this->settings.linkMegabitsPerSecond * 1e6))
     , peerBudget(internalTransferLimitsFor(this->settings.memoryBytes))
     , serverConnections(context, serverIdleTimeout, serverTcpUserTimeoutMs, this->requestBudget)
     , peerConnections(context, peerIdleTimeout, peerTcpUserTimeoutMs, this->peerBudget)
+    , quarantineExchange(this->clock, this->crashQuarantine, this->membership, store, codec, this->metrics, this->log)
     , clusterState(context, this->clock, this->settings, store, codec, this->fleet, this->membership,
           this->peerConnections, this->metrics, this->log)
-    , forwarder(
-          { context, this->clock, this->settings, this->headers, this->clusterState, this->fleet, this->shiftLimiter,
-              this->membership, this->serverConnections, this->crashDetector, this->metrics, this->log })
+    , forwarder({ context, this->clock, this->settings, this->headers, this->clusterState, this->fleet,
+          this->shiftLimiter, this->membership, this->serverConnections, this->crashDetector, this->crashQuarantine,
+          this->metrics, this->log })
     , localHandler(std::make_unique<LocalHandler>(*this))
     , callerListener(context, this->forwarder, this->requestBudget)
     , lookupListener(context, *this->localHandler, this->localRequestBudget)
@@ -142,6 +156,27 @@
 
 EdgeNode::~EdgeNode() = default;
 
+void EdgeNode::installCrashHooks()
+{
+    this->crashDetector.setCrashHook(
+        [this](const ServerCrash& crash, const BackendServer& server, CrashEvidence evidence) {
+            this->crashQuarantine.recordCrash(crash);
+            this->metrics.count("wagtailrack_server_crashes_total", "service=\"" + server.record.service + "\"");
+            this->log.write(LogCategory::ProcessState, "server-crashed",
+                { { "server", server.record.id }, { "service", server.record.service },
+                    { "request", toString(crash.request) }, { "evidence", toString(evidence) },
+                    { "ran_ms", std::chrono::duration_cast<Milliseconds>(crash.endedAt - crash.sentAt).count() } });
+        });
+    this->crashQuarantine.setChangeHook([this](const CrashQuarantine::Entry& entry, QuarantineSource source,
+                                            bool isCleared) {
+        this->metrics.count("wagtailrack_quarantine_changes_total",
+            std::string("change=\"") + (isCleared ? "cleared" : "began") + "\",source=\"" + toString(source) + "\"");
+        this->log.write(LogCategory::ProcessState, isCleared ? "quarantine-cleared" : "quarantine-began",
+            { { "request", toString(entry.request) }, { "crashes", static_cast<uint64_t>(entry.crashes) },
+                { "source", toString(source) } });
+    });
+}
+
 Status EdgeNode::start()
 {
     this->fleet.setLeavingHook([this](const BackendServer& server, const char* reason) {
@@ -153,14 +188,7 @@
             { { "server", server.record.id }, { "service", server.record.service }, { "reason", reason },
                 { "servers_age_ms", this->clusterState.serverRecordsAgeMs() } });
     });
-    this->crashDetector.setCrashHook(
-        [this](const ServerCrash& crash, const BackendServer& server, const char* evidence) {
-            this->metrics.count("wagtailrack_server_crashes_total", "service=\"" + server.record.service + "\"");
-            this->log.write(LogCategory::ProcessState, "server-crashed",
-                { { "server", server.record.id }, { "service", server.record.service },
-                    { "request", toString(crash.request) }, { "evidence", evidence },
-                    { "ran_ms", std::chrono::duration_cast<Milliseconds>(crash.endedAt - crash.sentAt).count() } });
-        });
+    this->installCrashHooks();
     const std::array<std::pair<CallerListener*, Endpoint>, 4> listeners { {
         { &this->callerListener, this->settings.callerAddress },
         { &this->lookupListener, this->settings.lookupAddress },
@@ -197,6 +225,7 @@
     run("datagrams", &EdgeNode::receiveDatagrams);
     run("load-exchange", &EdgeNode::runLoadExchangeLoop);
     run("maintenance", &EdgeNode::runMaintenanceLoop);
+    run("quarantine", &EdgeNode::runQuarantineLoop);
     run("signals", &EdgeNode::handleSignals);
     this->log.write(LogCategory::ProcessState, "start",
         { { "address", this->settings.callerAddress.toString() }, { "failure_domain", this->settings.failureDomain },
@@ -233,19 +262,77 @@
         answer[this->paths.addressesField].append(address);
     const int64_t validityMs = std::min(lookupValidityMs, this->settings.bounds.maximumLookupValidityMs);
     answer[this->paths.validityField] = static_cast<double>(validityMs) / 1000;
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    HttpResponse response = makeResponse(http::status::ok, Json::writeString(builder, answer));
+    HttpResponse response = makeResponse(http::status::ok, encodeJson(answer));
     response.set(http::field::content_type, "application/json");
     return response;
 }
 
+std::string EdgeNode::renderMetrics()
+{
+    this->metrics.setGauge(
+        "wagtailrack_servers_age_seconds", "", static_cast<double>(this->clusterState.serverRecordsAgeMs()) / 1000);
+    const RoutingTablePointer table = this->clusterState.routingTable();
+    this->metrics.setGauge("wagtailrack_configuration_version", "", table ? static_cast<double>(table->version()) : 0);
+    this->metrics.setGauge(
+        "wagtailrack_configuration_routes", "", table ? static_cast<double>(table->routeCount()) : 0);
+    if (table)
+        this->metrics.setGauge("wagtailrack_configuration_age_seconds", "",
+            static_cast<double>(this->clusterState.configurationAgeMs()) / 1000);
+    this->metrics.setGauge(
+        "wagtailrack_instances_alive", "", static_cast<double>(this->membership.aliveInstances().size()));
+    this->metrics.setGauge(
+        "wagtailrack_callers_connected", "", static_cast<double>(this->callerListener.sessionCount()));
+    this->metrics.setGauge("wagtailrack_server_connections_opened", "",
+        static_cast<double>(this->serverConnections.openedConnectionCount()));
+    this->metrics.setGauge(
+        "wagtailrack_large_message_bytes", "", static_cast<double>(this->requestBudget.reservedBytes()));
+    this->metrics.setGauge(
+        "wagtailrack_messages_refused_for_size", "", static_cast<double>(this->requestBudget.refusedMessageCount()));
+    this->metrics.setGauge("wagtailrack_log_lines_dropped", "", static_cast<double>(this->log.droppedLineCount()));
+    this->metrics.setGauge(
+        "wagtailrack_quarantined_requests", "", static_cast<double>(this->crashQuarantine.quarantinedCount()));
+    return this->metrics.render();
+}
+
+HttpResponse EdgeNode::listQuarantine() const
+{
+    const SteadyTime now = this->clock.now();
+    Json::Value list(Json::arrayValue);
+    for (const CrashQuarantine::Entry& entry : this->crashQuarantine.entries()) {
+        Json::Value item;
+        item["request"] = toString(entry.request);
+        item["crashes"] = static_cast<Json::UInt64>(entry.crashes);
+        item["quarantined"] = entry.isQuarantined();
+        if (entry.isQuarantined()) {
+            item["sinceMs"] = static_cast<Json::Int64>(millisecondsBetween(entry.beganAt, now));
+            item["endsInMs"] = static_cast<Json::Int64>(millisecondsBetween(now, entry.endsAt()));
+        }
+        list.append(item);
+    }
+    HttpResponse response = makeResponse(http::status::ok, encodeJson(list));
+    response.set(http::field::content_type, "application/json");
+    return response;
+}
+
+HttpResponse EdgeNode::clearQuarantine(const std::string& query)
+{
+    const std::string digits = queryValue(query, "request");
+    const auto request = parseFingerprint(digits);
+    if (!request)
+        return makeResponse(http::status::bad_request, "request: expected a fingerprint of hexadecimal digits\n");
+    if (!this->crashQuarantine.clear(*request))
+        return makeResponse(http::status::not_found, "the request is neither suspected nor in quarantine\n");
+    return makeResponse(http::status::ok, "cleared\n");
+}
+
 HttpResponse EdgeNode::handleLocalRequest(const HttpRequest& request)
 {
     const std::string target(request.target());
     const size_t queryMark = std::min(target.find('?'), target.size());
     const std::string path = target.substr(0, queryMark);
     const std::string query = target.substr(std::min(queryMark + 1, target.size()));
+    if (path == "/quarantine/clear" && request.method() == http::verb::post)
+        return this->clearQuarantine(query);
     if (request.method() != http::verb::get)
         return makeResponse(http::status::method_not_allowed, "only GET\n");
     if (path == this->paths.ready) {
@@ -276,30 +363,10 @@
         response.set(peerCallHeader, headerValue(request.base(), peerCallHeader));
         return response;
     }
-    if (path == "/metrics") {
-        this->metrics.setGauge(
-            "wagtailrack_servers_age_seconds", "", static_cast<double>(this->clusterState.serverRecordsAgeMs()) / 1000);
-        const RoutingTablePointer table = this->clusterState.routingTable();
-        this->metrics.setGauge(
-            "wagtailrack_configuration_version", "", table ? static_cast<double>(table->version()) : 0);
-        this->metrics.setGauge(
-            "wagtailrack_configuration_routes", "", table ? static_cast<double>(table->routeCount()) : 0);
-        if (table)
-            this->metrics.setGauge("wagtailrack_configuration_age_seconds", "",
-                static_cast<double>(this->clusterState.configurationAgeMs()) / 1000);
-        this->metrics.setGauge(
-            "wagtailrack_instances_alive", "", static_cast<double>(this->membership.aliveInstances().size()));
-        this->metrics.setGauge(
-            "wagtailrack_callers_connected", "", static_cast<double>(this->callerListener.sessionCount()));
-        this->metrics.setGauge("wagtailrack_server_connections_opened", "",
-            static_cast<double>(this->serverConnections.openedConnectionCount()));
-        this->metrics.setGauge(
-            "wagtailrack_large_message_bytes", "", static_cast<double>(this->requestBudget.reservedBytes()));
-        this->metrics.setGauge("wagtailrack_messages_refused_for_size", "",
-            static_cast<double>(this->requestBudget.refusedMessageCount()));
-        this->metrics.setGauge("wagtailrack_log_lines_dropped", "", static_cast<double>(this->log.droppedLineCount()));
-        return makeResponse(http::status::ok, this->metrics.render());
-    }
+    if (path == "/metrics")
+        return makeResponse(http::status::ok, this->renderMetrics());
+    if (path == "/quarantine")
+        return this->listQuarantine();
     return makeResponse(http::status::not_found, "unknown path\n");
 }
 
@@ -324,6 +391,8 @@
     while (true) {
         for (const LoadExchange::Datagram& datagram : this->loadExchange.collectDueDatagrams())
             this->sendDatagram(datagram.target, datagram.bytes);
+        for (const QuarantineExchange::Datagram& datagram : this->quarantineExchange.collectDueDatagrams())
+            this->sendDatagram(datagram.target, datagram.bytes);
         timer.expires_after(Milliseconds(loadExchangeCheckIntervalMs));
         error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -352,7 +421,8 @@
         if (failure)
             continue;
         const std::string_view bytes(buffer.data(), size);
-        if (!this->membership.receive(bytes) && !this->loadExchange.receive(sender.address().to_v4().to_uint(), bytes))
+        if (!this->membership.receive(bytes) && !this->loadExchange.receive(sender.address().to_v4().to_uint(), bytes)
+            && !this->quarantineExchange.receive(bytes))
             this->log.write(LogCategory::Request, "datagram-refused", { { "sender", sender.address().to_string() } });
     }
 }
@@ -368,6 +438,18 @@
     this->lastLoggedAliveCount = aliveCount;
 }
 
+asio::awaitable<void> EdgeNode::runQuarantineLoop()
+{
+    Timer timer(this->context);
+    while (true) {
+        const bool isReader = this->clusterState.isRegionStoreReader();
+        co_await this->quarantineExchange.exchangeWithStore(isReader);
+        timer.expires_after(Milliseconds(maintenanceIntervalMs));
+        error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
 asio::awaitable<void> EdgeNode::runMaintenanceLoop()
 {
     Timer timer(this->context);
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -47,8 +47,10 @@
 constexpr double fullTimeoutDecay = 0.999;
 // How long servers keep objects of the process that this one replaces, unless they are requested again.
 constexpr Milliseconds warmCacheDuration(20000);
-// Interval at which a request checks whether the state has been updated after a pause of the process.
-constexpr Milliseconds refreshCheckInterval(10);
+// Interval at which a request that waits checks whether it may go on.
+constexpr Milliseconds waitCheckInterval(10);
+// Longest wait for another copy of a request that is suspected of crashing servers.
+constexpr Milliseconds maximumSuspectWait(1000);
 // Retry-After while no version of the configuration is known yet, or while a newer one is on its way.
 constexpr double unconfiguredRetryAfterSeconds = 0.4;
 // Longest part of a host and of a path that a line of the log repeats: both are up to the caller, and the host's is the
@@ -100,13 +102,6 @@
     return std::to_string(status);
 }
 
-// A non-idempotent request is sent on a new connection: if the server closed an idle connection at the same time, the
-// outcome of the request would be unknown.
-ConnectionUse connectionUseFor(const RouteRule& rule)
-{
-    return rule.idempotency == version::Idempotency::Idempotent ? ConnectionUse::ReuseIdle : ConnectionUse::OpenNew;
-}
-
 // Returns a negative number if the text is not a non-negative integer.
 int64_t parseNumber(std::string_view text)
 {
@@ -222,7 +217,11 @@
 void RequestForwarder::reject(ForwardingState& state, const char* reason, double retryAfterSeconds)
 {
     const double thirdOfRemainingSeconds = std::max(0.0, this->remainingMs(state)) / 3000;
-    const double seconds = std::min(retryAfterSeconds, thirdOfRemainingSeconds);
+    this->rejectFor(state, reason, std::min(retryAfterSeconds, thirdOfRemainingSeconds));
+}
+
+void RequestForwarder::rejectFor(ForwardingState& state, const char* reason, double seconds)
+{
     state.exchange->response = makeResponse(http::status::service_unavailable, std::string(reason) + "\n", seconds);
     state.outcome = reason;
 }
@@ -308,6 +307,43 @@
     this->recordCompletion(state);
 }
 
+asio::awaitable<void> RequestForwarder::pause(Milliseconds duration)
+{
+    Timer timer(this->dependencies.context, duration);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+SendDecision RequestForwarder::checkQuarantine(ForwardingState& state)
+{
+    if (state.isSendGranted)
+        return SendDecision::Send;
+    switch (this->dependencies.crashQuarantine.decide(state.fingerprint)) {
+    case SendDecision::Send:
+        state.isSendGranted = true;
+        state.waitsUntil = {};
+        return SendDecision::Send;
+    case SendDecision::Refuse: {
+        const auto remaining = this->dependencies.crashQuarantine.remainingTime(state.fingerprint);
+        if (state.fallbackResponse || state.isPossiblyExecuted)
+            this->finishAfterFailure(state, "quarantined");
+        else
+            this->rejectFor(state, "quarantined", std::chrono::duration<double>(remaining).count());
+        return SendDecision::Refuse;
+    }
+    case SendDecision::Wait:
+        break;
+    }
+    const SteadyTime now = this->dependencies.clock.now();
+    if (state.waitsUntil == SteadyTime())
+        state.waitsUntil = std::min(now + maximumSuspectWait, state.deadline);
+    if (now >= state.waitsUntil) {
+        this->finishAfterFailure(state, "suspected");
+        return SendDecision::Refuse;
+    }
+    return SendDecision::Wait;
+}
+
 asio::awaitable<void> RequestForwarder::forwardRequest(ForwardingState& state)
 {
     while (true) {
@@ -316,9 +352,14 @@
             co_return;
         }
         if (this->dependencies.clusterState.isRefreshingAfterPause()) {
-            Timer timer(this->dependencies.context, refreshCheckInterval);
-            boost::system::error_code ignored;
-            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            co_await this->pause(waitCheckInterval);
+            continue;
+        }
+        const SendDecision decision = this->checkQuarantine(state);
+        if (decision == SendDecision::Refuse)
+            co_return;
+        if (decision == SendDecision::Wait) {
+            co_await this->pause(waitCheckInterval);
             continue;
         }
         // A request that has not been sent yet follows a version of the configuration that became active meanwhile.
@@ -342,7 +383,7 @@
         const PlacementRequest request { state.rule, service ? *service : unknown, state.affinityKey,
             this->dependencies.settings.region, this->dependencies.settings.failureDomain, this->roundTripsMs,
             [this, &state](const BackendServer& server) {
-                return connectionUseFor(state.rule) == ConnectionUse::ReuseIdle
+                return connectionUseOf(state) == ConnectionUse::ReuseIdle
                     && this->dependencies.serverConnections.hasIdleConnection(server.record.address);
             },
             state.exchange->arrivedAt, state.deadline, this->dependencies.shiftLimiter, this->coldServerSenders,
@@ -361,6 +402,14 @@
     }
 }
 
+ConnectionUse RequestForwarder::connectionUseOf(const ForwardingState& state)
+{
+    // A non-idempotent request is sent on a new connection: if the server closed an idle connection at the same time,
+    // the outcome of the request would be unknown.
+    const bool canReuse = state.rule.idempotency == version::Idempotency::Idempotent && !state.needsNewConnection;
+    return canReuse ? ConnectionUse::ReuseIdle : ConnectionUse::OpenNew;
+}
+
 std::shared_ptr<Call> RequestForwarder::makeCall(const ForwardingState& state, const BackendServer& server) const
 {
     const EdgeHeaderNames& headers = this->dependencies.headers;
@@ -376,7 +425,7 @@
     const bool isOwnRegion = server.region == this->dependencies.settings.region;
     call->connectDeadline = now + (isOwnRegion ? sameRegionConnectTimeout : otherRegionConnectTimeout);
     call->deadline = state.deadline + responseGracePeriod;
-    call->connectionUse = connectionUseFor(state.rule);
+    call->connectionUse = connectionUseOf(state);
     call->echoHeader = headers.requestId;
     call->echoValue = state.requestId;
     return call;
@@ -396,6 +445,7 @@
     const std::shared_ptr<Call> call = this->makeCall(state, *server);
     if (isIdempotent)
         state.exchange->onCallerDisconnected = [call] { call->cancel(); };
+    state.isSendGranted = false;
     const SteadyTime sentAt = this->dependencies.clock.now();
     const Endpoint address = server->record.address;
     state.lastServerId = server->record.id;
@@ -415,6 +465,7 @@
         this->dependencies.crashDetector.recordResponse(*server, sentAt);
         co_return this->handleResponse(state, *server, choice, *call, durationMs);
     case CallOutcome::ConnectFailed:
+        state.isSendGranted = true;
         if (call->connectFailure == asio::error::connection_refused)
             this->dependencies.crashDetector.recordRefusedConnection(*server);
         this->dependencies.fleet.endAttempt(*server, AttemptOutcome::Unreachable);
@@ -434,7 +485,8 @@
     case CallOutcome::TimedOut:
         ++state.sendCount;
         if (!call->hasResponseStarted)
-            this->dependencies.crashDetector.recordBrokenAttempt(*server, state.fingerprint, sentAt);
+            this->dependencies.crashDetector.recordBrokenAttempt(
+                *server, state.fingerprint, sentAt, call->connectDurationMs > 0);
         this->dependencies.fleet.endAttempt(*server, AttemptOutcome::BrokenResponse);
         this->dependencies.fleet.recordDuration(
             *server, durationMs, choice.expectedWaitMs + choice.expectedProcessingMs);
@@ -446,8 +498,9 @@
     }
     ++state.sendCount;
     state.isPossiblyExecuted = true;
+    state.needsNewConnection = true;
     if (!call->hasResponseStarted)
-        this->investigateBrokenAttempt(state, server, sentAt);
+        this->investigateBrokenAttempt(state, server, *call, sentAt);
     this->dependencies.fleet.endAttempt(*server, AttemptOutcome::BrokenResponse);
     if (!isIdempotent) {
         this->respondWithError(state, http::status::bad_gateway, "outcome-unknown");
@@ -477,9 +530,10 @@
 }
 
 void RequestForwarder::investigateBrokenAttempt(
-    const ForwardingState& state, const BackendServerPointer& server, SteadyTime sentAt)
+    const ForwardingState& state, const BackendServerPointer& server, const Call& call, SteadyTime sentAt)
 {
-    if (!this->dependencies.crashDetector.recordBrokenAttempt(*server, state.fingerprint, sentAt))
+    const bool isOnNewConnection = call.connectDurationMs > 0;
+    if (!this->dependencies.crashDetector.recordBrokenAttempt(*server, state.fingerprint, sentAt, isOnNewConnection))
         return;
     asio::co_spawn(
         this->dependencies.context, [this, server] { return this->probeServer(server); }, asio::detached);
@@ -556,6 +610,7 @@
             state.excludedServers.erase(&server);
         return this->retryOrFinish(state);
     }
+    this->dependencies.crashQuarantine.recordResponse(state.fingerprint);
     const bool isServerFailure = status >= 500 || status == 429 || status == 408;
     const bool hasSeal = !headerValue(response.base(), headers.responseSeal).empty();
     // A success, a redirect or an error of the caller ends the request for good, so it has to be the server's own.
--- a/src/edge/tests/CrashDetectorTest.cpp
+++ b/src/edge/tests/CrashDetectorTest.cpp
@@ -19,7 +19,7 @@
         this->server.record.id = "s1";
         this->server.record.startedAtMs = 5;
         this->detector.setCrashHook(
-            [this](const ServerCrash& crash, const BackendServer&, const char*) { this->crashes.push_back(crash); });
+            [this](const ServerCrash& crash, const BackendServer&, CrashEvidence) { this->crashes.push_back(crash); });
     }
 
     // An attempt that was sent now and ends 100 ms later without a response.
@@ -27,7 +27,7 @@
     {
         const SteadyTime sentAt = this->clock.now();
         this->clock.advance(Milliseconds(100));
-        this->detector.recordBrokenAttempt(this->server, request, sentAt);
+        this->detector.recordBrokenAttempt(this->server, request, sentAt, true);
     }
 };
 
@@ -84,7 +84,7 @@
     this->server.record.startedAtMs = 5;
     this->detector.recordRefusedConnection(this->server);
     this->server.isLeaving = true;
-    CHECK_FALSE(this->detector.recordBrokenAttempt(this->server, 1, this->clock.now()));
+    CHECK_FALSE(this->detector.recordBrokenAttempt(this->server, 1, this->clock.now(), true));
     this->detector.recordRefusedConnection(this->server);
     LONGS_EQUAL(0, this->crashes.size());
 }
@@ -93,11 +93,22 @@
 TEST(CrashDetector, numberOfOpenAttemptsIsBounded)
 {
     for (size_t index = 0; index < 2 * CrashDetector::maximumOpenAttempts; ++index)
-        this->detector.recordBrokenAttempt(this->server, index, this->clock.now());
+        this->detector.recordBrokenAttempt(this->server, index, this->clock.now(), true);
     this->detector.recordRefusedConnection(this->server);
     LONGS_EQUAL(CrashDetector::maximumOpenAttempts, this->crashes.size());
 }
 
+// Guards against requests that are blamed although they were sent to a server that had fallen silent before.
+TEST(CrashDetector, attemptsAfterTheServerFellSilentDoNotCount)
+{
+    this->breakAttempt(1);
+    this->clock.advance(Milliseconds(1));
+    this->detector.recordBrokenAttempt(this->server, 2, this->clock.now(), false);
+    this->detector.recordRemoval(this->server);
+    LONGS_EQUAL(1, this->crashes.size());
+    CHECK_TRUE(this->crashes.front().request == 1 && this->crashes.front().isSilent);
+}
+
 // Guards against requests that differ in one part and count as the same.
 TEST(CrashDetector, fingerprintDistinguishesAllParts)
 {
