--- a/src/edge/include/wagtailrack/edge/CrashDetector.h
+++ b/src/edge/include/wagtailrack/edge/CrashDetector.h
@@ -3,7 +3,6 @@
 #include <wagtailrack/base/Clock.h>
 #include <wagtailrack/edge/BackendFleet.h>
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -40,7 +39,7 @@
     // Whether the server fell silent: it may have ended earlier, or be cut off only.
     bool isSilent = false;
 
-    friend auto operator<=>(const ServerCrash&, const ServerCrash&) = default;
+    friend bool operator==(const ServerCrash&, const ServerCrash&) = default;
 };
 
 // What shows that a server has ended; the name in log lines.
--- a/src/edge/include/wagtailrack/edge/CrashQuarantine.h
+++ b/src/edge/include/wagtailrack/edge/CrashQuarantine.h
@@ -5,7 +5,6 @@
 #include <wagtailrack/edge/QuarantineMessages.h>
 
 #include <algorithm>
-#include <compare>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -79,7 +78,7 @@
         bool isQuarantined() const { return this->beganAt != SteadyTime(); }
         SteadyTime endsAt() const { return this->lastRequestAt + retentionTime; }
 
-        friend auto operator<=>(const Entry&, const Entry&) = default;
+        friend bool operator==(const Entry&, const Entry&) = default;
     };
     // Called when a quarantine begins or is cleared.
     using ChangeHook = std::function<void(const Entry&, QuarantineSource, bool isCleared)>;
--- a/src/edge/src/CrashQuarantine.cpp
+++ b/src/edge/src/CrashQuarantine.cpp
@@ -385,7 +385,8 @@
     entries.reserve(this->suspects.size());
     for (const auto& [request, suspect] : this->suspects)
         entries.push_back(this->entryOf(request, suspect));
-    std::sort(entries.begin(), entries.end());
+    std::sort(entries.begin(), entries.end(),
+        [](const Entry& left, const Entry& right) { return left.request < right.request; });
     return entries;
 }
 
