--- a/src/edge/tests/CrashingRequestSimulationTest.cpp
+++ b/src/edge/tests/CrashingRequestSimulationTest.cpp
@@ -95,6 +95,8 @@
 
     int64_t below(int64_t bound) { return static_cast<int64_t>(this->generator() % static_cast<uint64_t>(bound)); }
 
+    size_t drawInstance() { return static_cast<size_t>(this->generator() % this->instances.size()); }
+
     void send(size_t from, size_t target, const QuarantineMessage& message)
     {
         if (from == target || static_cast<double>(this->below(1000)) < 1000 * this->scenario.lostRatio)
@@ -120,7 +122,7 @@
             if (this->nowMs % 1000 == 0) {
                 const QuarantineMessage summary = quarantine.nextSummary();
                 for (int count = 0; count < 2; ++count)
-                    this->send(index, static_cast<size_t>(this->below(this->instances.size())), summary);
+                    this->send(index, this->drawInstance(), summary);
             }
         }
     }
@@ -157,7 +159,7 @@
             return true;
         });
         if (static_cast<double>(this->below(1'000'000)) < 1e6 * stepMs / this->scenario.intervalMs)
-            this->copies.push_back({ static_cast<size_t>(this->below(this->instances.size())), this->nowMs });
+            this->copies.push_back({ this->drawInstance(), this->nowMs });
         std::erase_if(this->copies, [this](Copy& copy) { return this->progress(copy); });
     }
 
