--- a/review/standins/earlyAnswerCutBody.cpp
+++ b/review/standins/earlyAnswerCutBody.cpp
@@ -1,5 +1,5 @@
-// Case: a backend server answers an order with success before it has read its long body, keeps the connection, and reads
-// on. Checked is rule UNASKED: the body that the server gets is the caller's.
+// Case: a backend server answers an order with success before it has read its long body, keeps the connection, and
+// reads on. Checked is rule UNASKED: the body that the server gets is the caller's.
 #include "scene.h"
 
 using namespace scene;
@@ -26,8 +26,8 @@
     std::atomic<int> answeredCut = 0;
 };
 
-// Serves orders one after the other on a kept connection. With `answersEarly`, the answer is sent after the head has been
-// read, and the body is read after that.
+// Serves orders one after the other on a kept connection. With `answersEarly`, the answer is sent after the head has
+// been read, and the body is read after that.
 void serve(Stream& stream, const std::string& server, bool answersEarly, Tally& tally)
 {
     while (const auto head = stream.readHead(nowMs() + 10000)) {
@@ -55,8 +55,8 @@
         const bool isWhole = body == bodyOf(attempt);
         Runs::shared().end(attempt, run, isWhole ? "answered" : "body cut");
         ++(isWhole ? tally.whole : tally.cut);
-        Record::shared().line("server %s has read %zu of %zu bytes of the body of %s%s", server.c_str(), body.size(), length,
-            attempt.c_str(), isWhole ? "" : ": its connection was closed");
+        Record::shared().line("server %s has read %zu of %zu bytes of the body of %s%s", server.c_str(), body.size(),
+            length, attempt.c_str(), isWhole ? "" : ": its connection was closed");
         if (body.size() < length)
             return;
         if (!answersEarly)
@@ -75,8 +75,9 @@
         store.put("op/config", manifest({ { "order", "bestelldienst", false } }));
         for (int number = 0; number < 4; ++number) {
             const std::string id = "i-early" + std::to_string(number);
-            makeLasting<Server>(store, id, "bestelldienst", number % 2 ? "muc-a" : "muc-b", network.host(30 + number), 8,
-                Server::Trouble(), [id, hasTrouble, &tally](Stream& stream) { serve(stream, id, hasTrouble, tally); });
+            makeLasting<Server>(store, id, "bestelldienst", number % 2 ? "muc-a" : "muc-b", network.host(30 + number),
+                8, Server::Trouble(),
+                [id, hasTrouble, &tally](Stream& stream) { serve(stream, id, hasTrouble, tally); });
         }
         std::vector<std::unique_ptr<Machine>> machines;
         machines.push_back(std::make_unique<Machine>(network, store.port(), "muc-a", 11, folder));
@@ -90,10 +91,12 @@
             threads.emplace_back([&, number] {
                 for (int count = 0; count < requestsPerCaller; ++count) {
                     const std::string attempt = newAttemptId();
-                    const auto stream = Stream::connect(machines[static_cast<size_t>(number) % 2]->host(), network.front);
+                    const auto stream
+                        = Stream::connect(machines[static_cast<size_t>(number) % 2]->host(), network.front);
                     if (!stream)
                         continue;
-                    Record::shared().line("caller %d sends order %s with %zu bytes", number, attempt.c_str(), longBodyBytes);
+                    Record::shared().line(
+                        "caller %d sends order %s with %zu bytes", number, attempt.c_str(), longBodyBytes);
                     stream->send(requestText("POST", "/order/0/" + std::to_string(number), attempt, 10000,
                         std::to_string(1000 + 10 * number + count), bodyOf(attempt)));
                     const auto response = stream->read(nowMs() + 12000);
--- a/review/standins/earlyAnswerReset.cpp
+++ b/review/standins/earlyAnswerReset.cpp
@@ -1,5 +1,6 @@
-// Case: a backend server answers before it has read a long request body. Its answer has no length, and its connection is
-// reset when half of the answer has been sent. Checked is rule MIXED: a caller must not get the half as a whole success.
+// Case: a backend server answers before it has read a long request body. Its answer has no length, and its connection
+// is reset when half of the answer has been sent. Checked is rule MIXED: a caller must not get the half as a whole
+// success.
 #include "scene.h"
 
 using namespace scene;
@@ -36,8 +37,8 @@
     Record::shared().line("server %s runs %s, whose body of %s bytes it has not read", server.c_str(), attempt.c_str(),
         head->header("content-length").c_str());
     const std::string body = wholeAnswer(attempt);
-    stream.send("HTTP/1.1 200 OK\r\nWagtailrack-Attempt-Id: " + attempt + "\r\nWagtailrack-Response-Seal: seal." + attempt
-        + "\r\nConnection: close\r\n\r\n" + body.substr(0, body.size() / 2));
+    stream.send("HTTP/1.1 200 OK\r\nWagtailrack-Attempt-Id: " + attempt + "\r\nWagtailrack-Response-Seal: seal."
+        + attempt + "\r\nConnection: close\r\n\r\n" + body.substr(0, body.size() / 2));
     sleepMs(200);
     if (breaksOff) {
         stream.resetOnClose();
@@ -63,8 +64,8 @@
         store.put("op/config", manifest({ { "order", "bestelldienst", false } }));
         for (int number = 0; number < 4; ++number) {
             const std::string id = "i-early" + std::to_string(number);
-            makeLasting<Server>(store, id, "bestelldienst", number % 2 ? "muc-a" : "muc-b", network.host(30 + number), 8,
-                Server::Trouble(), [id, hasTrouble](Stream& stream) { serveEarly(stream, id, hasTrouble); });
+            makeLasting<Server>(store, id, "bestelldienst", number % 2 ? "muc-a" : "muc-b", network.host(30 + number),
+                8, Server::Trouble(), [id, hasTrouble](Stream& stream) { serveEarly(stream, id, hasTrouble); });
         }
         std::vector<std::unique_ptr<Machine>> machines;
         machines.push_back(std::make_unique<Machine>(network, store.port(), "muc-a", 11, folder));
@@ -83,7 +84,8 @@
                     const auto stream = Stream::connect(machines[number % 2]->host(), network.front);
                     if (!stream)
                         throw CannotRun { "a machine takes no connection" };
-                    Record::shared().line("caller %d sends order %s with %zu bytes", number, attempt.c_str(), longBodyBytes);
+                    Record::shared().line(
+                        "caller %d sends order %s with %zu bytes", number, attempt.c_str(), longBodyBytes);
                     stream->send(requestText("POST", "/order/0/" + std::to_string(number), attempt, 10000,
                         std::to_string(1000 + 10 * number + count), std::string(longBodyBytes, 'p')));
                     const auto response = stream->read(nowMs() + 12000);
@@ -92,7 +94,9 @@
                     ++(isWhole ? wholes : isSuccess ? halves : others);
                     Record::shared().line("caller %d gets %d for %s with %zu bytes, complete by its length: %s", number,
                         response ? response->status() : 0, attempt.c_str(), response ? response->body.size() : 0,
-                        isWhole ? "the server's whole answer" : isSuccess ? "NOT the server's whole answer" : "no success");
+                        isWhole         ? "the server's whole answer"
+                            : isSuccess ? "NOT the server's whole answer"
+                                        : "no success");
                 }
             });
         for (std::thread& thread : threads)
--- a/review/standins/endlessAnswer.cpp
+++ b/review/standins/endlessAnswer.cpp
@@ -1,5 +1,6 @@
-// Case: one backend server answers with bytes that never end. Its answer begins with a sound head and "Transfer-Encoding:
-// chunked"; the bytes that follow are no chunk. Checked is rule LOST for the requests of other callers at sound servers.
+// Case: one backend server answers with bytes that never end. Its answer begins with a sound head and
+// "Transfer-Encoding: chunked"; the bytes that follow are no chunk. Checked is rule LOST for the requests of other
+// callers at sound servers.
 #include "scene.h"
 
 using namespace scene;
@@ -70,8 +71,8 @@
             continue;
         }
         const bool isCut = !stream->timedOut() && requestsOnConnection > 0 && !runs.empty();
-        Record::shared().line("caller %d: connection of %s ends without an answer, %zu answered on it before; %s", number,
-            attempt.c_str(), static_cast<size_t>(requestsOnConnection),
+        Record::shared().line("caller %d: connection of %s ends without an answer, %zu answered on it before; %s",
+            number, attempt.c_str(), static_cast<size_t>(requestsOnConnection),
             runs.empty() ? "not passed on" : ("passed on to sound server " + runs.back().server).c_str());
         tally.cuts[machine.name()] += isCut ? 1 : 0;
         stream.reset();
@@ -107,8 +108,8 @@
         Store& store = makeLasting<Store>(network.host(1), 0);
         store.put("op/config", manifest({ { "status", "abgleich" }, { "sync", "preisdienst" } }));
         for (int number = 0; number < 6; ++number)
-            makeLasting<Server>(store, "i-sound" + std::to_string(number), "abgleich",
-                number % 2 ? "muc-a" : "muc-b", network.host(30 + number), 3);
+            makeLasting<Server>(store, "i-sound" + std::to_string(number), "abgleich", number % 2 ? "muc-a" : "muc-b",
+                network.host(30 + number), 3);
         Link& link = makeLasting<Link>();
         for (int number = 0; number < 3; ++number) {
             Server::Trouble trouble;
@@ -151,8 +152,9 @@
         bool isBroken = false;
         for (const auto& machine : machines) {
             const int cuts = tally.cuts[machine->name()];
-            Record::shared().line("%s: %d requests on kept connections passed on to sound servers and cut, permitted %d; "
-                                  "process ended %d times by itself; %lld MB at most",
+            Record::shared().line(
+                "%s: %d requests on kept connections passed on to sound servers and cut, permitted %d; "
+                "process ended %d times by itself; %lld MB at most",
                 machine->name().c_str(), cuts, permittedCuts, machine->ownEnds(),
                 static_cast<long long>(machine->peakMegabytes()));
             isBroken = isBroken || cuts > permittedCuts;
--- a/review/standins/pipelinedStop.cpp
+++ b/review/standins/pipelinedStop.cpp
@@ -1,6 +1,6 @@
-// Case: a planned stop while callers send further idempotent requests before the first one has been answered. Checked is
-// rule LOST around planned work: a request that was read whole, passed on to a server, and whose connection ends without
-// a complete answer.
+// Case: a planned stop while callers send further idempotent requests before the first one has been answered. Checked
+// is rule LOST around planned work: a request that was read whole, passed on to a server, and whose connection ends
+// without a complete answer.
 #include "scene.h"
 
 using namespace scene;
@@ -84,8 +84,8 @@
         Store& store = makeLasting<Store>(network.host(1), 0);
         store.put("op/config", manifest({ { "sync", "abgleich" } }));
         for (int number = 0; number < 12; ++number)
-            makeLasting<Server>(store, "i-sound" + std::to_string(number), "abgleich",
-                number % 2 ? "muc-a" : "muc-b", network.host(30 + number), 3);
+            makeLasting<Server>(store, "i-sound" + std::to_string(number), "abgleich", number % 2 ? "muc-a" : "muc-b",
+                network.host(30 + number), 3);
         std::vector<std::unique_ptr<Machine>> machines;
         machines.push_back(std::make_unique<Machine>(network, store.port(), "muc-a", 11, folder));
         machines.push_back(std::make_unique<Machine>(network, store.port(), "muc-b", 12, folder));
@@ -101,8 +101,9 @@
             machines[0]->signal(SIGTERM, "SIGTERM, a planned stop");
         for (std::thread& caller : callers)
             caller.join();
-        Record::shared().line("%d requests answered; around the stop, %d passed on to sound servers and cut, %d cut that "
-                              "were not passed on",
+        Record::shared().line(
+            "%d requests answered; around the stop, %d passed on to sound servers and cut, %d cut that "
+            "were not passed on",
             tally.answered, tally.lost, tally.notPassedOn);
         if (tally.answered < 50)
             throw CannotRun { "too few requests were answered" };
