--- a/src/edge/include/wagtailrack/edge/CallerSession.h
+++ b/src/edge/include/wagtailrack/edge/CallerSession.h
@@ -1,11 +1,10 @@
 #pragma once
 
 #include <wagtailrack/edge/Http.h>
+#include <wagtailrack/edge/ReceiveBuffer.h>
 #include <wagtailrack/edge/RoutingTable.h>
-#include <wagtailrack/edge/TransferBudget.h>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -103,7 +102,7 @@
     Tcp::socket socket;
     RequestHandler& handler;
     CallerListener& listener;
-    boost::beast::flat_buffer buffer;
+    ReceiveBuffer buffer;
     std::deque<ExchangePointer> pendingExchanges;
     // Never expires. Cancelled to resume writeResponses(), and readRequests() when it waits because too many exchanges
     // are pending.
--- a/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
+++ b/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include <wagtailrack/edge/Http.h>
-#include <wagtailrack/edge/TransferBudget.h>
+#include <wagtailrack/edge/ReceiveBuffer.h>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include <cstdint>
@@ -40,10 +39,11 @@
 // call that times out.
 class ClientConnection {
 public:
-    explicit ClientConnection(asio::io_context& context);
+    // `budget` limits the memory of what is received.
+    ClientConnection(asio::io_context& context, TransferBudget& budget);
 
     Tcp::socket socket;
-    boost::beast::flat_buffer buffer;
+    ReceiveBuffer buffer;
     SteadyTime idleExpiresAt;
     int requestCount = 0;
 
--- a/src/edge/include/wagtailrack/edge/TransferBudget.h
+++ b/src/edge/include/wagtailrack/edge/TransferBudget.h
@@ -5,17 +5,20 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 
 namespace wagtailrack::edge {
 
 // Limits of a TransferBudget.
 struct TransferLimits {
-    // Bytes of one message body, and of all message bodies that are held at the same time.
+    // Bytes of one message body, and of all large message bodies that are held at the same time.
     size_t messageBytes = 0;
     size_t totalBytes = 0;
     // Bytes per second in which large messages are read; 0 for no limit.
     double bytesPerSecond = 0;
+    // Bytes of all messages that are held at the same time, and of receive buffers.
+    size_t heldBytes = std::numeric_limits<size_t>::max();
 
     friend bool operator==(const TransferLimits&, const TransferLimits&) = default;
 };
@@ -28,8 +31,10 @@
 TransferLimits internalTransferLimitsFor(size_t memoryBytes) noexcept;
 
 // Bounds the memory and the bandwidth that message bodies take, so that peers that send bytes without end do not
-// exhaust the instance. The first `unreservedBytes` of each message are exempt: ordinary messages are neither refused
-// nor delayed because of large ones. Outlives its reservations; used by one thread.
+// exhaust the instance. The first `unreservedBytes` of each message are exempt from the limits for large messages:
+// ordinary messages are neither refused nor delayed because of large ones. Only TransferLimits::heldBytes counts them,
+// which bounds the memory that many connections take together. Reservations may outlive the budget, as those of
+// coroutines do that end with the event loop. Used by one thread.
 //
 //     TransferBudget::Reservation memory(budget);
 //     while (...) {
@@ -38,11 +43,21 @@
 //         delay = memory.delayAfterReading(size);    // wait before reading more
 //     }
 class TransferBudget {
+    // What is in use, shared with the reservations.
+    struct Usage {
+        TransferLimits limits;
+        size_t reservedBytes = 0;
+        size_t heldBytes = 0;
+        uint64_t refusedMessages = 0;
+        // When the bytes that were read so far would have arrived at the permitted rate.
+        SteadyTime pacedUntil;
+    };
+
 public:
     // More than the bodies of the deployments, which are at most 30 kB.
     static constexpr size_t unreservedBytes = 65'536;
 
-    // Memory of one message; released when it is destroyed.
+    // Memory of one message body or receive buffer; released when it is destroyed.
     class Reservation {
     public:
         explicit Reservation(TransferBudget& budget) noexcept;
@@ -50,34 +65,34 @@
         Reservation(const Reservation&) = delete;
         Reservation& operator=(const Reservation&) = delete;
 
-        // Changes the size of the message body to `bytes`. Returns false, and keeps the former size, if one of the
-        // limits does not allow it.
+        // Changes the size to `bytes`. Returns false, and keeps the former size, if one of the limits does not allow
+        // it. A smaller size is always allowed.
         bool resize(size_t bytes) noexcept;
         // Time to wait before more of the message is read, after `bytes` of it have been read. Not limited: with many
         // large messages, each one's turn comes late.
         Milliseconds delayAfterReading(size_t bytes, SteadyTime now) noexcept;
 
     private:
-        TransferBudget& budget;
+        std::shared_ptr<Usage> usage;
         size_t reservedBytes = 0;
+        size_t heldBytes = 0;
         size_t readBytes = 0;
     };
 
-    explicit TransferBudget(const TransferLimits& limits) noexcept
-        : transferLimits(limits)
+    explicit TransferBudget(const TransferLimits& limits)
+        : usage(std::make_shared<Usage>(Usage { limits, 0, 0, 0, {} }))
     {
     }
 
-    const TransferLimits& limits() const noexcept { return this->transferLimits; }
-    size_t reservedBytes() const noexcept { return this->totalReserved; }
-    uint64_t refusedMessageCount() const noexcept { return this->refusedMessages; }
+    const TransferLimits& limits() const noexcept { return this->usage->limits; }
+    // Bytes of large messages, without the first `unreservedBytes` of each.
+    size_t reservedBytes() const noexcept { return this->usage->reservedBytes; }
+    // Bytes of all messages and receive buffers.
+    size_t heldBytes() const noexcept { return this->usage->heldBytes; }
+    uint64_t refusedMessageCount() const noexcept { return this->usage->refusedMessages; }
 
 private:
-    TransferLimits transferLimits;
-    size_t totalReserved = 0;
-    uint64_t refusedMessages = 0;
-    // When the bytes that were read so far would have arrived at the permitted rate.
-    SteadyTime pacedUntil;
+    std::shared_ptr<Usage> usage;
 };
 
 using ReservationPointer = std::shared_ptr<TransferBudget::Reservation>;
--- a/src/edge/src/CallerSession.cpp
+++ b/src/edge/src/CallerSession.cpp
@@ -1,12 +1,14 @@
 #include <wagtailrack/edge/CallerSession.h>
 
-#include <wagtailrack/edge/readBody.h>
+#include <wagtailrack/edge/readMessage.h>
 #include <wagtailrack/edge/superviseTask.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 namespace wagtailrack::edge {
 
 namespace {
@@ -73,6 +75,7 @@
     , socket(std::move(socket))
     , handler(handler)
     , listener(listener)
+    , buffer(listener.budget)
     , stateChanged(context, SteadyTime::max())
     , readTimer(context)
 {
@@ -158,9 +161,11 @@
         }
         this->armReadTimer(BootTimeClock::now() + Milliseconds(this->handler.limits().idleTimeoutMs));
         // The limits are read when the request begins: a newer configuration may arrive while the connection is idle.
-        if (this->buffer.size() == 0)
+        if (this->buffer.size() == 0) {
+            this->buffer.releaseIfEmpty();
             co_await this->socket.async_wait(
                 Tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, failure));
+        }
         if (!this->isOpen)
             co_return;
         if (failure) {
@@ -173,8 +178,9 @@
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<uint32_t>(limits.maxHeaderBytes));
         parser.body_limit(static_cast<uint64_t>(limits.maxBodyBytes));
-        const size_t headerBytes = co_await http::async_read_header(
-            this->socket, this->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+        this->buffer.setMaximumBytes(
+            std::max(ReceiveBuffer::defaultMaximumBytes, static_cast<size_t>(limits.maxHeaderBytes)));
+        const size_t headerBytes = co_await readHeader(this->socket, this->buffer, parser, failure);
         const auto requestMemory = std::make_shared<TransferBudget::Reservation>(this->listener.budget);
         if (!failure && !parser.is_done()) {
             // A body may be large and its link slow, but a caller that stops in the middle of it is given up.
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -286,6 +286,8 @@
         static_cast<double>(this->serverConnections.openedConnectionCount()));
     this->metrics.setGauge(
         "wagtailrack_large_message_bytes", "", static_cast<double>(this->requestBudget.reservedBytes()));
+    this->metrics.setGauge("wagtailrack_message_bytes_held", "",
+        static_cast<double>(this->requestBudget.heldBytes() + this->peerBudget.heldBytes()));
     this->metrics.setGauge(
         "wagtailrack_messages_refused_for_size", "", static_cast<double>(this->requestBudget.refusedMessageCount()));
     this->metrics.setGauge("wagtailrack_log_lines_dropped", "", static_cast<double>(this->log.droppedLineCount()));
--- a/src/edge/src/HttpConnectionPool.cpp
+++ b/src/edge/src/HttpConnectionPool.cpp
@@ -1,6 +1,6 @@
 #include <wagtailrack/edge/HttpConnectionPool.h>
 
-#include <wagtailrack/edge/readBody.h>
+#include <wagtailrack/edge/readMessage.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -85,8 +85,9 @@
     return "unknown";
 }
 
-ClientConnection::ClientConnection(asio::io_context& context)
+ClientConnection::ClientConnection(asio::io_context& context, TransferBudget& budget)
     : socket(context)
+    , buffer(budget)
     , timer(context)
 {
 }
@@ -152,7 +153,7 @@
 
 asio::awaitable<CallOutcome> HttpConnectionPool::connect(std::shared_ptr<Call> call, const Endpoint& server)
 {
-    call->connection = std::make_shared<ClientConnection>(this->context);
+    call->connection = std::make_shared<ClientConnection>(this->context, this->budget);
     const ClientConnectionPointer connection = call->connection;
     const SteadyTime startedAt = BootTimeClock::now();
     connection->armTimer(std::min(call->connectDeadline, call->deadline));
@@ -180,8 +181,7 @@
     parser.header_limit(maximumResponseHeadBytes);
     parser.body_limit(std::max(this->budget.limits().messageBytes, TransferBudget::unreservedBytes));
     error_code failure;
-    co_await http::async_read_header(
-        connection->socket, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+    co_await readHeader(connection->socket, connection->buffer, parser, failure);
     call->hasResponseStarted = call->hasResponseStarted || parser.got_some();
     if (!failure && call->onResponseHead)
         call->onResponseHead();
@@ -270,6 +270,7 @@
 void HttpConnectionPool::addIdleConnection(
     const Endpoint& server, const ClientConnectionPointer& connection, Milliseconds idleTimeout)
 {
+    connection->buffer.releaseIfEmpty();
     connection->idleExpiresAt = BootTimeClock::now() + idleTimeout;
     this->idleConnections[server].push_back(connection);
 }
--- a/src/edge/src/TransferBudget.cpp
+++ b/src/edge/src/TransferBudget.cpp
@@ -10,6 +10,9 @@
 // that a message of the store, at most 1.4 MB, always fits.
 constexpr size_t messageMemoryDivisor = 32;
 constexpr size_t totalMemoryDivisor = 8;
+// Fraction of an instance's memory for all messages and receive buffers. The rest is for the state of the cluster, and
+// for copies of a message while it grows and is forwarded.
+constexpr size_t heldMemoryDivisor = 4;
 // Fraction of the link for large messages; the rest is left to ordinary ones.
 constexpr double largeMessageLinkRatio = 0.25;
 // How far the bytes that were read may be ahead of the permitted rate before reading is delayed.
@@ -20,33 +23,41 @@
 TransferLimits transferLimitsFor(size_t memoryBytes, double linkBitsPerSecond) noexcept
 {
     return { memoryBytes / messageMemoryDivisor, memoryBytes / totalMemoryDivisor,
-        linkBitsPerSecond / 8 * largeMessageLinkRatio };
+        linkBitsPerSecond / 8 * largeMessageLinkRatio, memoryBytes / heldMemoryDivisor };
 }
 
 TransferLimits internalTransferLimitsFor(size_t memoryBytes) noexcept
 {
-    return { memoryBytes / messageMemoryDivisor, memoryBytes / totalMemoryDivisor, 0 };
+    return { memoryBytes / messageMemoryDivisor, memoryBytes / totalMemoryDivisor, 0, memoryBytes / heldMemoryDivisor };
 }
 
 TransferBudget::Reservation::Reservation(TransferBudget& budget) noexcept
-    : budget(budget)
+    : usage(budget.usage)
 {
 }
 
-TransferBudget::Reservation::~Reservation() { this->budget.totalReserved -= this->reservedBytes; }
+TransferBudget::Reservation::~Reservation()
+{
+    this->usage->reservedBytes -= this->reservedBytes;
+    this->usage->heldBytes -= this->heldBytes;
+}
 
 bool TransferBudget::Reservation::resize(size_t bytes) noexcept
 {
+    const TransferLimits& limits = this->usage->limits;
     const size_t needed = bytes > unreservedBytes ? bytes - unreservedBytes : 0;
-    const size_t others = this->budget.totalReserved - this->reservedBytes;
-    const bool isWithinLimits = bytes <= std::max(this->budget.transferLimits.messageBytes, unreservedBytes)
-        && (needed == 0 || others + needed <= this->budget.transferLimits.totalBytes);
-    if (!isWithinLimits) {
-        ++this->budget.refusedMessages;
+    const size_t others = this->usage->reservedBytes - this->reservedBytes;
+    const size_t othersHeld = this->usage->heldBytes - this->heldBytes;
+    const bool isWithinLimits = bytes <= std::max(limits.messageBytes, unreservedBytes)
+        && (needed == 0 || others + needed <= limits.totalBytes) && othersHeld + bytes <= limits.heldBytes;
+    if (!isWithinLimits && bytes > this->heldBytes) {
+        ++this->usage->refusedMessages;
         return false;
     }
-    this->budget.totalReserved = others + needed;
+    this->usage->reservedBytes = others + needed;
     this->reservedBytes = needed;
+    this->usage->heldBytes = othersHeld + bytes;
+    this->heldBytes = bytes;
     return true;
 }
 
@@ -54,11 +65,11 @@
 {
     const size_t before = std::max(this->readBytes, unreservedBytes);
     this->readBytes += bytes;
-    const double rate = this->budget.transferLimits.bytesPerSecond;
+    const double rate = this->usage->limits.bytesPerSecond;
     if (rate <= 0 || this->readBytes <= before)
         return Milliseconds(0);
     const std::chrono::duration<double> duration(static_cast<double>(this->readBytes - before) / rate);
-    SteadyTime& pacedUntil = this->budget.pacedUntil;
+    SteadyTime& pacedUntil = this->usage->pacedUntil;
     pacedUntil = std::max(pacedUntil, now) + std::chrono::duration_cast<SteadyTime::duration>(duration);
     const auto delay = std::chrono::duration_cast<Milliseconds>(pacedUntil - now) - permittedAdvance;
     return std::max(delay, Milliseconds(0));
