--- a/src/edge/include/wagtailrack/edge/Http.h
+++ b/src/edge/include/wagtailrack/edge/Http.h
@@ -58,6 +58,10 @@
 // Returns whether the peer has closed an idle connection or sent data on it, or whether the connection has failed.
 bool isStale(Tcp::socket& socket);
 
+// Returns whether the peer has closed its side of the connection, and the connection has not failed since. A read
+// reports the end of the stream also after a failure if another operation on the socket has received the error.
+bool isClosedByPeer(Tcp::socket& socket);
+
 // Sets TCP_NODELAY and the options that detect an unresponsive peer: the connection fails when data or keep-alive
 // probes stay unacknowledged for about `userTimeoutMs`.
 void setTcpOptions(Tcp::socket& socket, int userTimeoutMs);
--- a/src/edge/src/Http.cpp
+++ b/src/edge/src/Http.cpp
@@ -80,6 +80,15 @@
     return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool isClosedByPeer(Tcp::socket& socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof info;
+    const bool isKnown = ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    // After a reset or a time-out, the state is TCP_CLOSE.
+    return isKnown && info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 void setTcpOptions(Tcp::socket& socket, int userTimeoutMs)
 {
     const int handle = socket.native_handle();
--- a/src/edge/src/HttpConnectionPool.cpp
+++ b/src/edge/src/HttpConnectionPool.cpp
@@ -233,6 +233,9 @@
         // An interim response (1xx) is followed by the final response.
         if (parser.get().result_int() < 200)
             continue;
+        // A response without a length ends with its connection; if that failed, the rest of the response is missing.
+        if (parser.need_eof() && !isClosedByPeer(connection->socket))
+            break;
         if (!isEchoAccepted(*call, parser.get()))
             continue;
         // Bytes after the response belong to no request, and a request body that is still being sent must not be
