--- a/src/edge/include/wagtailrack/edge/CallerSession.h
+++ b/src/edge/include/wagtailrack/edge/CallerSession.h
@@ -70,7 +70,8 @@
     // Records a request that was refused before it could be handled. `response` is what the caller is sent; the handler
     // may replace it.
     virtual void handleRefusedRequest(const RefusedRequest& /* refused */, HttpResponse& /* response */) { }
-    // Whether responses carry "Connection: close".
+    // Whether each connection is closed once the requests that were passed to the handler have been answered. The last
+    // response carries "Connection: close"; what the caller sent behind it is not handled. Once true, it stays true.
     virtual bool shouldCloseConnections() const = 0;
 };
 
@@ -88,7 +89,14 @@
 
 private:
     asio::awaitable<void> readRequests();
+    // Receives and drops what follows the last request, until the caller closes the connection.
+    asio::awaitable<void> discardInput();
     asio::awaitable<void> writeResponses();
+    // Whether another request may be read: not after the last one of the connection, and not behind others while the
+    // handler closes connections.
+    bool canReadRequest() const;
+    // Whether a request behind the first pending one has been passed to the handler or refused.
+    bool isLaterRequestStarted() const;
     void startHandler(const ExchangePointer& exchange);
     asio::awaitable<void> handleExchange(ExchangePointer exchange);
     void refuseRequest(Exchange& exchange, const RefusedRequest& refused);
@@ -111,6 +119,8 @@
     SteadyTime readDeadline;
     // From the first byte of a request to its last one.
     bool isReadingRequest = false;
+    // No further request is read: the connection is closed after a response to one that has been read.
+    bool isLastRequestRead = false;
     bool isOpen = true;
 };
 
--- a/src/edge/include/wagtailrack/edge/ReceiveBuffer.h
+++ b/src/edge/include/wagtailrack/edge/ReceiveBuffer.h
@@ -33,6 +33,8 @@
     size_t size() const noexcept { return this->bytes.size(); }
     // Frees the memory of an empty buffer unless it is small.
     void releaseIfEmpty() noexcept;
+    // Drops the unparsed bytes and frees the memory.
+    void clear() noexcept;
 
     // Parses what has been received, and reads from `socket` until the parser has made progress. Returns the number of
     // bytes parsed. Sets `failure` to an error of the connection or of the message; to http::error::header_limit when
--- a/src/edge/src/CallerSession.cpp
+++ b/src/edge/src/CallerSession.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace wagtailrack::edge {
 
@@ -25,6 +26,11 @@
 constexpr double memoryFullRetryAfterSeconds = 0.5;
 // Delay after accept() fails, as it does when the process is out of file descriptors.
 constexpr Milliseconds acceptRetryDelay(20);
+// Time after the last response in which the caller can read it before the connection is closed.
+constexpr Milliseconds closeDelay(500);
+// Input behind the last request is dropped at 400 kB/s at most.
+constexpr size_t discardedReadBytes = 4096;
+constexpr Milliseconds discardInterval(10);
 
 RefusalReason refusalReasonFor(error_code failure)
 {
@@ -150,11 +156,44 @@
     this->close();
 }
 
+bool CallerSession::canReadRequest() const
+{
+    return !this->isLastRequestRead && (this->pendingExchanges.empty() || !this->handler.shouldCloseConnections());
+}
+
+bool CallerSession::isLaterRequestStarted() const
+{
+    return std::any_of(std::next(this->pendingExchanges.begin()), this->pendingExchanges.end(),
+        [](const ExchangePointer& exchange) { return exchange->isHandlerStarted || exchange->isResponseReady; });
+}
+
+asio::awaitable<void> CallerSession::discardInput()
+{
+    this->isLastRequestRead = true;
+    this->buffer.clear();
+    std::array<char, discardedReadBytes> bytes;
+    Timer pause(this->context);
+    while (this->isOpen) {
+        error_code failure;
+        co_await this->socket.async_read_some(asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, failure));
+        if (failure) {
+            this->handleCallerDisconnect();
+            co_return;
+        }
+        pause.expires_after(discardInterval);
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+    }
+}
+
 asio::awaitable<void> CallerSession::readRequests()
 {
     const auto self = this->shared_from_this();
     while (this->isOpen) {
         error_code failure;
+        if (!this->canReadRequest()) {
+            co_await this->discardInput();
+            co_return;
+        }
         if (this->pendingExchanges.size() >= maximumPipelinedRequests) {
             co_await this->stateChanged.async_wait(asio::redirect_error(asio::use_awaitable, failure));
             continue;
@@ -201,6 +240,9 @@
             this->handleCallerDisconnect();
             co_return;
         }
+        // The decision to close the connection may have been made while the request arrived.
+        if (!this->canReadRequest())
+            continue;
         const auto exchange = std::make_shared<Exchange>();
         exchange->arrivedAt = BootTimeClock::now();
         const bool isFirst = this->pendingExchanges.empty();
@@ -210,10 +252,12 @@
             const size_t bytesRead = headerBytes + partialRequest.body().size() + this->buffer.size();
             const RefusedRequest refused { refusalReasonFor(failure), failure.message(), partialRequest.base(),
                 std::string(partialRequest.target()), bytesRead, limits };
+            this->isLastRequestRead = true;
             this->refuseRequest(*exchange, refused);
-            co_return;
+            continue;
         }
         exchange->request = parser.release();
+        this->isLastRequestRead = !exchange->request.keep_alive();
         exchange->requestMemory = requestMemory;
         if (isFirst || this->handler.canHandleConcurrently(exchange->request))
             this->startHandler(exchange);
@@ -267,8 +311,10 @@
         }
         const ExchangePointer exchange = this->pendingExchanges.front();
         const bool isMalformed = exchange->request.target().empty();
-        const bool shouldKeepAlive
-            = !isMalformed && exchange->request.keep_alive() && !this->handler.shouldCloseConnections();
+        const bool shouldKeepAlive = !isMalformed && exchange->request.keep_alive()
+            && (!this->handler.shouldCloseConnections() || this->isLaterRequestStarted());
+        if (!shouldKeepAlive)
+            this->isLastRequestRead = true;
         HttpResponse& response = exchange->response;
         response.version(exchange->request.version() == 10 ? 10 : 11);
         response.keep_alive(shouldKeepAlive);
@@ -282,17 +328,13 @@
             co_return;
         }
         this->pendingExchanges.pop_front();
-        if (!shouldKeepAlive) {
-            // Later requests of this connection are treated as not received; those already started are cancelled.
-            for (const ExchangePointer& laterExchange : this->pendingExchanges) {
-                laterExchange->hasCallerDisconnected = true;
-                if (laterExchange->onCallerDisconnected)
-                    laterExchange->onCallerDisconnected();
-            }
+        // A response may have been begun before the handler closes connections, and no request is read behind it.
+        if (!shouldKeepAlive || (this->pendingExchanges.empty() && this->isLastRequestRead)) {
+            // The requests behind a response that closes the connection were not started; the caller sends them again.
             this->pendingExchanges.clear();
             this->socket.shutdown(Tcp::socket::shutdown_send, failure);
             // Closing a socket with unread data would reset the connection before the caller has read the response.
-            Timer closeTimer(this->context, Milliseconds(500));
+            Timer closeTimer(this->context, closeDelay);
             co_await closeTimer.async_wait(asio::redirect_error(asio::use_awaitable, failure));
             this->close();
             co_return;
--- a/src/edge/src/ReceiveBuffer.cpp
+++ b/src/edge/src/ReceiveBuffer.cpp
@@ -25,6 +25,13 @@
     this->memory.resize(this->bytes.capacity());
 }
 
+void ReceiveBuffer::clear() noexcept
+{
+    this->bytes.clear();
+    this->bytes.shrink_to_fit();
+    this->memory.resize(this->bytes.capacity());
+}
+
 size_t ReceiveBuffer::reserve(boost::system::error_code& failure)
 {
     const size_t size = this->bytes.size();
