--- a/src/edge/include/wagtailrack/edge/ClusterStateCache.h
+++ b/src/edge/include/wagtailrack/edge/ClusterStateCache.h
@@ -7,6 +7,7 @@
 #include <wagtailrack/edge/HttpConnectionPool.h>
 #include <wagtailrack/edge/InstanceMembership.h>
 #include <wagtailrack/edge/MetadataStore.h>
+#include <wagtailrack/edge/ServerRecordTable.h>
 
 #include <wagtailrack/process/Metrics.h>
 
@@ -67,10 +68,10 @@
         uint64_t operatorItemsHash = 0;
         // Negative if the peer did not tell it.
         int64_t operatorItemsRevision = 0;
-        int64_t serverRecordsRevision = 0;
+        ServerRecordVersion serverRecords;
     };
     // The state as JSON, for a peer. Leaves out the operator items if the peer's copy has the same hash or if the
-    // changed items are large, and the server records that have not changed since the peer's revision.
+    // changed items are large, and the server records that have not changed since the peer's copy.
     std::string encodeStateForPeer(const PeerCopy& copy) const;
     // The operator items that have changed since a revision as JSON, compressed. Empty if none is known.
     std::string encodeOperatorItemsForPeer(int64_t peerOperatorItemsRevision);
@@ -105,17 +106,7 @@
 
     void applyOperatorItems(
         std::map<std::string, StoreItem> items, int64_t revision, SteadyTime readAt, const char* source);
-    // Server records from the store or from a peer. `items` are all records, or, in an incremental update, those that
-    // changed; `removed` are then the keys of those that were removed.
-    struct ServerRecordUpdate {
-        std::vector<StoreItem> items;
-        std::vector<std::string> removed;
-        bool isFullListing = true;
-        int64_t revision = 0;
-        SteadyTime readAt;
-    };
-    void applyServerRecords(ServerRecordUpdate changes, const char* source);
-    bool updateServerRecord(StoreItem item, int64_t revision);
+    void applyServerRecords(ServerRecordUpdate update, SteadyTime readAt, const char* source);
     void recordStoreCall(bool isReachable, const char* call, const std::string& detail);
     void countStoreCall(const char* call, bool isDone);
     int64_t operatorItemsAgeMs() const;
@@ -170,26 +161,14 @@
     std::string encodedOperatorItems;
     uint64_t encodedOperatorItemsKey = 0;
 
-    // A record, and the store revision at which it was last seen to differ in more than its sequence number and its
-    // remaining cold time.
-    struct ServerRecordEntry {
-        StoreItem item;
-        ServerRecord record;
-        uint64_t contentHash = 0;
-        int64_t changedRevision = 0;
-    };
-    std::map<std::string, ServerRecordEntry> serverRecords;
-    // Keys of removed records, with the store revision at which the removal was seen.
-    std::map<std::string, int64_t> removedServerRevisions;
-    // The changes since this store revision are known. Peers whose copy has a lower revision are sent all records.
-    int64_t changeHistoryStartRevision = 0;
-    int64_t serverRecordsRevision = -1;
+    ServerRecordTable serverRecords;
+    // Set when the changes that a peer sent did not lead to its records: the next poll asks for all of them.
+    bool needsAllServerRecords = false;
     SteadyTime serverRecordsReadAt;
     bool hasServerRecords = false;
     // Servers whose records are missing stay in use until this time; set when the store is readable again after an
     // outage, in which records may have expired although their servers are running.
     SteadyTime missingGraceUntil;
-    std::map<std::string, int64_t> refusedServerRevisions;
 
     SteadyTime startedAt;
     bool isStoreReachable = true;
--- a/src/edge/src/ClusterStateCache.cpp
+++ b/src/edge/src/ClusterStateCache.cpp
@@ -71,8 +71,6 @@
 constexpr size_t maximumInlineBytes = 16'384;
 // Largest response of a peer after decompression: a configuration of 1 MB as an escaped JSON string, and other items.
 constexpr size_t maximumPeerMessageBytes = 4'194'304;
-// Removed records that are kept to be reported to peers; bounds the memory.
-constexpr size_t maximumRemovedServerRecords = 4000;
 
 int64_t millisecondsBetween(SteadyTime from, SteadyTime to)
 {
@@ -132,16 +130,6 @@
     return items;
 }
 
-// Hash that detects changes of a record. Leaves out the sequence number, and of the remaining cold time all but whether
-// the server is still cold: records that differ only in these count as unchanged.
-uint64_t contentHash(const ServerRecord& record)
-{
-    std::string text = record.id + '|' + record.service + '|' + record.address.toString() + '|' + record.failureDomain
-        + '|' + std::to_string(record.slots) + '|' + std::to_string(static_cast<int>(record.state)) + '|'
-        + std::to_string(record.startedAtMs) + '|' + (record.coldRemainingMs > 0 ? "cold" : "warm");
-    return hash64(text);
-}
-
 }
 
 ClusterStateCache::ClusterStateCache(asio::io_context& context, const Clock& clock, const EdgeSettings& settings,
@@ -157,6 +145,10 @@
     , peerConnections(peers)
     , metrics(metrics)
     , log(log)
+    , serverRecords(codec, [this](const StoreItem& item, const Error& error) {
+        this->log.write(LogCategory::ProcessState, "server-record-refused",
+            { { "key", item.key }, { "revision", item.modificationRevision }, { "reason", describe(error) } });
+    })
 {
 }
 
@@ -400,7 +392,8 @@
     }
     this->recordStoreCall(true, "list-servers", "");
     this->applyServerRecords(
-        { std::move(listing.value().items), {}, true, listing.value().revision, requestedAt }, "store");
+        { std::move(listing.value().items), {}, true, listing.value().revision }, requestedAt, "store");
+    this->needsAllServerRecords = false;
     co_return true;
 }
 
@@ -551,11 +544,13 @@
 
 asio::awaitable<bool> ClusterStateCache::fetchStateFromPeer(std::string address)
 {
-    const int64_t requestedRevision = this->serverRecordsRevision;
+    const ServerRecordVersion ownVersion
+        = this->needsAllServerRecords ? ServerRecordVersion() : this->serverRecords.version();
     const SteadyTime requestedAt = this->clock.now();
     const std::string target = "/state?operator=" + std::to_string(this->operatorItemsHash)
         + "&operatorRevision=" + std::to_string(this->needsAllOperatorItems ? 0 : this->operatorItemsRevision)
-        + "&servers=" + std::to_string(this->serverRecordsRevision);
+        + "&servers=" + std::to_string(ownVersion.revision)
+        + (ownVersion.hash ? "&serversHash=" + std::to_string(*ownVersion.hash) : "");
     const HttpResponse response = co_await this->callPeer(address, target, maximumPollTime);
     if (response.body().empty())
         co_return false;
@@ -589,19 +584,26 @@
     const SteadyTime serversReadAt = readAt(serversSection);
     const int64_t revision = serversSection["revision"].asInt64();
     const bool isFullListing = serversSection["whole"].asBool();
-    if (revision < this->serverRecordsRevision || serversReadAt <= this->serverRecordsReadAt)
+    if (revision < this->serverRecords.revision() || serversReadAt <= this->serverRecordsReadAt)
         co_return true;
     Result<std::vector<StoreItem>> items = parseItems(serversSection["items"], address);
-    // An incremental update is relative to the revision in the request. A read of the store that completed meanwhile
-    // may have changed the revision of the copy, and the update then does not fit.
-    if (!items || (!isFullListing && requestedRevision != this->serverRecordsRevision))
+    // An incremental update is relative to the copy that the request told of. A read of the store that completed
+    // meanwhile may have replaced the copy, and the update then does not fit.
+    if (!items || (!isFullListing && ownVersion != this->serverRecords.version()))
         co_return false;
-    ServerRecordUpdate update { std::move(items.value()), {}, isFullListing, revision, serversReadAt };
+    ServerRecordUpdate update { std::move(items.value()), {}, isFullListing, revision };
     for (const Json::Value& key : serversSection["removed"]) {
         if (key.isString())
             update.removed.push_back(key.asString());
     }
-    this->applyServerRecords(std::move(update), "peer");
+    this->applyServerRecords(std::move(update), serversReadAt, "peer");
+    // Instances of earlier releases do not tell the hash.
+    const Json::Value& hash = serversSection["hash"];
+    this->needsAllServerRecords = !isFullListing && hash.isUInt64() && hash.asUInt64() != this->serverRecords.hash();
+    if (this->needsAllServerRecords)
+        this->log.write(LogCategory::ProcessState, "server-records-mismatch",
+            { { "peer", address }, { "revision", revision },
+                { "count", static_cast<uint64_t>(this->serverRecords.size()) } });
     co_return true;
 }
 
@@ -658,80 +660,24 @@
     this->needsAllOperatorItems = false;
 }
 
-bool ClusterStateCache::updateServerRecord(StoreItem item, int64_t revision)
-{
-    Result<ServerRecord> record = this->codec.decodeServer(item);
-    if (!record) {
-        int64_t& refusedRevision = this->refusedServerRevisions[item.key];
-        if (refusedRevision == 0)
-            this->log.write(LogCategory::ProcessState, "server-record-refused",
-                { { "key", item.key }, { "revision", item.modificationRevision },
-                    { "reason", describe(record.error()) } });
-        refusedRevision = item.modificationRevision;
-        // The store entry no longer holds a valid record of the server, so its last valid record is dropped as well.
-        if (this->serverRecords.erase(item.key) == 0)
-            return false;
-        this->removedServerRevisions[item.key] = revision;
-        return true;
-    }
-    const std::string key = item.key;
-    const uint64_t hash = contentHash(record.value());
-    ServerRecordEntry& entry = this->serverRecords[key];
-    const bool isChanged = entry.contentHash != hash;
-    if (isChanged)
-        entry.changedRevision = revision;
-    entry.contentHash = hash;
-    entry.item = std::move(item);
-    entry.record = std::move(record.value());
-    this->removedServerRevisions.erase(key);
-    return isChanged;
-}
-
-void ClusterStateCache::applyServerRecords(ServerRecordUpdate update, const char* source)
+void ClusterStateCache::applyServerRecords(ServerRecordUpdate update, SteadyTime readAt, const char* source)
 {
-    if (update.revision < this->serverRecordsRevision || update.readAt < this->serverRecordsReadAt)
+    if (update.revision < this->serverRecords.revision() || readAt < this->serverRecordsReadAt)
         return;
     const SteadyTime now = this->clock.now();
-    if (this->hasServerRecords && millisecondsBetween(this->serverRecordsReadAt, update.readAt) > outageThresholdMs)
+    if (this->hasServerRecords && millisecondsBetween(this->serverRecordsReadAt, readAt) > outageThresholdMs)
         this->missingGraceUntil = now + Milliseconds(this->settings.bounds.registryRecoveryMs);
-    if (!this->hasServerRecords)
-        this->changeHistoryStartRevision = update.revision;
-    bool isChanged = false;
-    std::set<std::string> presentKeys;
-    for (StoreItem& item : update.items) {
-        const std::string key = item.key;
-        if (update.isFullListing)
-            presentKeys.insert(key);
-        isChanged = this->updateServerRecord(std::move(item), update.revision) || isChanged;
-    }
-    if (update.isFullListing) {
-        for (const auto& [key, entry] : this->serverRecords) {
-            if (!presentKeys.contains(key))
-                update.removed.push_back(key);
-        }
-    }
-    for (const std::string& key : update.removed) {
-        isChanged = this->serverRecords.erase(key) > 0 || isChanged;
-        this->removedServerRevisions[key] = update.revision;
-    }
-    if (this->removedServerRevisions.size() > maximumRemovedServerRecords) {
-        this->removedServerRevisions.clear();
-        this->changeHistoryStartRevision = update.revision;
-    }
-    this->serverRecordsRevision = update.revision;
-    this->serverRecordsReadAt = update.readAt;
+    const bool isFullListing = update.isFullListing;
+    const bool isChanged = this->serverRecords.apply(std::move(update));
+    this->serverRecordsReadAt = readAt;
     this->hasServerRecords = true;
     if (isChanged)
         this->log.write(LogCategory::ProcessState, "servers",
-            { { "count", static_cast<uint64_t>(this->serverRecords.size()) }, { "revision", update.revision },
-                { "source", source }, { "age_ms", millisecondsBetween(update.readAt, now) } });
-    if (!isChanged && !update.isFullListing)
-        return;
-    std::vector<ServerRecord> records;
-    records.reserve(this->serverRecords.size());
-    for (const auto& [key, entry] : this->serverRecords)
-        records.push_back(entry.record);
-    this->fleet.applyRecords(records, std::max(this->missingGraceUntil, now));
+            { { "count", static_cast<uint64_t>(this->serverRecords.size()) },
+                { "revision", this->serverRecords.revision() }, { "source", source },
+                { "whole", isFullListing ? 1 : 0 }, { "age_ms", millisecondsBetween(readAt, now) } });
+    if (isChanged || isFullListing)
+        this->fleet.applyRecords(this->serverRecords.records(), std::max(this->missingGraceUntil, now));
 }
 
 asio::awaitable<void> ClusterStateCache::maintainRegistration()
@@ -849,20 +795,17 @@
     }
     if (this->hasServerRecords) {
         Json::Value& section = state["servers"];
-        const bool isFullListing = copy.serverRecordsRevision < this->changeHistoryStartRevision;
-        section["revision"] = static_cast<Json::Int64>(this->serverRecordsRevision);
+        const ServerRecordUpdate update = this->serverRecords.updateFor(copy.serverRecords);
+        section["revision"] = static_cast<Json::Int64>(update.revision);
+        section["hash"] = static_cast<Json::UInt64>(this->serverRecords.hash());
         section["ageMs"] = static_cast<Json::Int64>(millisecondsBetween(this->serverRecordsReadAt, now));
-        section["whole"] = isFullListing;
+        section["whole"] = update.isFullListing;
         section["items"] = Json::Value(Json::arrayValue);
         section["removed"] = Json::Value(Json::arrayValue);
-        for (const auto& [key, entry] : this->serverRecords) {
-            if (isFullListing || entry.changedRevision > copy.serverRecordsRevision)
-                section["items"].append(toJson(entry.item));
-        }
-        for (const auto& [key, revision] : this->removedServerRevisions) {
-            if (!isFullListing && revision > copy.serverRecordsRevision)
-                section["removed"].append(key);
-        }
+        for (const StoreItem& item : update.items)
+            section["items"].append(toJson(item));
+        for (const std::string& key : update.removed)
+            section["removed"].append(key);
     }
     return encodeJson(state);
 }
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -347,9 +347,11 @@
     if (path == "/state") {
         // A peer without a copy sends -1, which is parsed as 0, so that the peer is sent all records.
         const std::string operatorRevision = queryValue(query, "operatorRevision");
+        const std::string serversHash = queryValue(query, "serversHash");
         const ClusterStateCache::PeerCopy copy { parseUnsigned(queryValue(query, "operator")),
             operatorRevision.empty() ? -1 : static_cast<int64_t>(parseUnsigned(operatorRevision)),
-            static_cast<int64_t>(parseUnsigned(queryValue(query, "servers"))) };
+            { static_cast<int64_t>(parseUnsigned(queryValue(query, "servers"))),
+                serversHash.empty() ? std::nullopt : std::optional(parseUnsigned(serversHash)) } };
         HttpResponse response = makeResponse(http::status::ok, this->clusterState.encodeStateForPeer(copy));
         response.set(peerCallHeader, headerValue(request.base(), peerCallHeader));
         return response;
