--- a/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
+++ b/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
@@ -94,6 +94,8 @@
     std::string echoHeader;
     std::string echoValue;
     EchoUse echoUse = EchoUse::WithValue;
+    // Memory of the body of `request`, kept until that has been sent; may be null.
+    ReservationPointer requestMemory;
     // Called when the head of a response has arrived.
     std::function<void()> onResponseHead;
 
@@ -135,7 +137,8 @@
         asio::io_context& context, Milliseconds maximumIdleTime, int tcpUserTimeoutMs, TransferBudget& budget);
 
     // Sends call->request to `server` and reads the response. Idle connections that the server has closed are not
-    // reused.
+    // reused. A server may respond before it has read the request; the rest of that is sent after this has returned,
+    // until call->deadline.
     asio::awaitable<CallOutcome> execute(std::shared_ptr<Call> call, Endpoint server);
 
     // Opens a connection to `server` and closes it again.
@@ -151,11 +154,24 @@
     // Closes expired and stale idle connections, and opens those requested by keepPreconnected().
     void maintain(SteadyTime now);
     uint64_t openedConnectionCount() const noexcept { return this->connectionsOpened; }
+    // Requests that have been answered and are still being sent.
+    size_t unfinishedRequestCount() const noexcept { return this->unfinishedRequests; }
 
 private:
+    // Progress of sending a request. The request is sent while the response is read, so that an early response does not
+    // wait for a long request body.
+    struct SendProgress {
+        bool isDone = false;
+        bool hasFailed = false;
+        // The call has ended with a response; the connection is closed when the request has been sent.
+        bool isAnswered = false;
+    };
+
     ClientConnectionPointer acquireIdleConnection(const Endpoint& server);
     // `call->connectFailure` tells why the connection was not established.
     asio::awaitable<CallOutcome> connect(std::shared_ptr<Call> call, const Endpoint& server);
+    asio::awaitable<void> sendRequest(
+        ClientConnectionPointer connection, std::shared_ptr<Call> call, std::shared_ptr<SendProgress> sendProgress);
     asio::awaitable<CallOutcome> sendAndReceive(std::shared_ptr<Call> call);
     void releaseConnection(const std::shared_ptr<Call>& call, const Endpoint& server);
     void addIdleConnection(const Endpoint& server, const ClientConnectionPointer& connection, Milliseconds idleTimeout);
@@ -169,6 +185,7 @@
     int tcpUserTimeoutMs;
     TransferBudget& budget;
     uint64_t connectionsOpened = 0;
+    size_t unfinishedRequests = 0;
     std::map<Endpoint, std::vector<ClientConnectionPointer>> idleConnections;
     // Servers to which an idle connection is kept open, and until when. Those to which a connection is being opened
     // are in `preconnectingServers`.
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -532,7 +532,8 @@
         error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         const SteadyTime now = this->clock.now();
-        const bool isIdle = this->forwarder.inFlightRequestCount() == 0 && this->callerListener.busySessionCount() == 0;
+        const bool isIdle = this->forwarder.inFlightRequestCount() == 0
+            && this->serverConnections.unfinishedRequestCount() == 0 && this->callerListener.busySessionCount() == 0;
         if (now >= latestStopAt || (now >= earliestStopAt && isIdle && this->callerListener.sessionCount() == 0))
             break;
     }
--- a/src/edge/src/HttpConnectionPool.cpp
+++ b/src/edge/src/HttpConnectionPool.cpp
@@ -48,22 +48,6 @@
     return value == call.echoValue || (value.empty() && call.echoUse == EchoUse::IfPresent);
 }
 
-// Progress of sending a request. The request is sent while the response is read, so that an early response does not
-// wait for a long request body.
-struct SendProgress {
-    bool isDone = false;
-    bool hasFailed = false;
-};
-
-asio::awaitable<void> sendRequest(
-    ClientConnectionPointer connection, std::shared_ptr<Call> call, std::shared_ptr<SendProgress> sendProgress)
-{
-    error_code failure;
-    co_await http::async_write(connection->socket, call->request, asio::redirect_error(asio::use_awaitable, failure));
-    sendProgress->isDone = true;
-    sendProgress->hasFailed = failure.failed();
-}
-
 }
 
 const char* toString(CallOutcome outcome) noexcept
@@ -204,6 +188,20 @@
     co_return failure ? CallOutcome::Broken : CallOutcome::Answered;
 }
 
+asio::awaitable<void> HttpConnectionPool::sendRequest(
+    ClientConnectionPointer connection, std::shared_ptr<Call> call, std::shared_ptr<SendProgress> sendProgress)
+{
+    error_code failure;
+    co_await http::async_write(connection->socket, call->request, asio::redirect_error(asio::use_awaitable, failure));
+    sendProgress->isDone = true;
+    sendProgress->hasFailed = failure.failed();
+    if (!sendProgress->isAnswered)
+        co_return;
+    --this->unfinishedRequests;
+    connection->disarmTimer();
+    connection->close();
+}
+
 asio::awaitable<CallOutcome> HttpConnectionPool::sendAndReceive(std::shared_ptr<Call> call)
 {
     const ClientConnectionPointer connection = call->connection;
@@ -211,7 +209,7 @@
     ++connection->requestCount;
     call->isPossiblySent = true;
     const auto sendProgress = std::make_shared<SendProgress>();
-    asio::co_spawn(this->context, sendRequest(connection, call, sendProgress), asio::detached);
+    asio::co_spawn(this->context, this->sendRequest(connection, call, sendProgress), asio::detached);
     CallOutcome outcome = CallOutcome::Broken;
     for (int skippedResponses = 0; skippedResponses <= maximumSkippedResponses; ++skippedResponses) {
         http::response_parser<http::string_body> parser;
@@ -242,7 +240,14 @@
         // interrupted by the next request. In both cases the connection is not reused.
         const bool canReuse = parser.keep_alive() && !parser.need_eof() && sendProgress->isDone
             && !sendProgress->hasFailed && connection->buffer.size() == 0;
+        const bool mayServerReadOn = parser.keep_alive() && !parser.need_eof();
         call->response = parser.release();
+        if (!sendProgress->isDone && mayServerReadOn) {
+            sendProgress->isAnswered = true;
+            ++this->unfinishedRequests;
+            call->connection.reset();
+            co_return CallOutcome::Answered;
+        }
         if (!canReuse)
             connection->close();
         outcome = CallOutcome::Answered;
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -415,6 +415,7 @@
     const EdgeHeaderNames& headers = this->dependencies.headers;
     auto call = std::make_shared<Call>();
     call->request = state.exchange->request;
+    call->requestMemory = state.exchange->requestMemory;
     removeHopByHopHeaders(call->request);
     call->request.version(11);
     call->request.prepare_payload();
