EdgeNode: an instance waits for its addresses and settings at the start

Reproduced on: with an address in use, any of the five, or with settings that are missing or written in part, the process ends at once. EdgeStart.addressInUseIsWaitedFor, settingsThatAreNotWholeAreWaitedFor and waitingForAnAddressEndsWithSigterm failed before and pass now; restartsAtTheSameAddressesAfterAKill held before.

Fix: the start waits for valid settings (5 s) and for its addresses (10 s), says so once, and ends only then. Signals are taken over when all addresses are open, so that SIGTERM ends a process that waits. SIGPIPE is ignored from the beginning.

--- a/src/command/src/runEdge.cpp
+++ b/src/command/src/runEdge.cpp
@@ -11,9 +11,32 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <thread>
 
 namespace wagtailrack::command {
 
+namespace {
+
+// Longest wait for settings that can be read, and time between two tries. The platform may still be writing the file.
+constexpr Milliseconds maximumSettingsWait(5000);
+constexpr Milliseconds settingsRetryInterval(50);
+
+// Reads the settings until they are valid, and fails when they still are not after `maximumSettingsWait`.
+Result<edge::EdgeSettings> awaitSettings(const edge::SettingsReader& readSettings)
+{
+    const SteadyTime giveUpAt = BootTimeClock::now() + maximumSettingsWait;
+    Result<edge::EdgeSettings> settings = readSettings();
+    if (!settings)
+        std::cerr << "wagtailrack: waiting for valid settings: " << describe(settings.error()) << std::endl;
+    while (!settings && BootTimeClock::now() < giveUpAt) {
+        std::this_thread::sleep_for(settingsRetryInterval);
+        settings = readSettings();
+    }
+    return settings;
+}
+
+}
+
 ExitCode runEdge(int argumentCount, char** arguments)
 {
     cxxopts::Options options("wagtailrack edge", "Runs an instance on the users' platform until SIGTERM or SIGINT.");
@@ -22,6 +45,7 @@
     // The default action would end the process. Until the node handles it, nothing is lost: the settings are read again
     // at intervals as well.
     std::signal(SIGHUP, SIG_IGN);
+    std::signal(SIGPIPE, SIG_IGN);
     const ParsedOptions parsed = parseOptions(options, argumentCount, arguments);
     if (!parsed.options)
         return parsed.exitCode;
@@ -37,14 +61,14 @@
         BOOST_OUTCOME_TRY(text, process::readFile(path));
         return platform::parsePlatformSettings(text, path);
     };
-    Result<edge::EdgeSettings> settings = readSettings();
+    const bool isCheck = parsed.options->count("check") > 0;
+    Result<edge::EdgeSettings> settings = isCheck ? readSettings() : awaitSettings(readSettings);
     if (!settings)
         return reportError(settings.error());
-    if (parsed.options->count("check") > 0) {
+    if (isCheck) {
         std::cout << path << ": valid\n";
         return ExitCode::Success;
     }
-    std::signal(SIGPIPE, SIG_IGN);
     // One thread: the instances have a part of one core, and nothing then needs a lock.
     edge::asio::io_context context(1);
     platform::PlatformStore store(
--- a/src/edge/include/wagtailrack/edge/CallerSession.h
+++ b/src/edge/include/wagtailrack/edge/CallerSession.h
@@ -130,8 +130,9 @@
     // `budget` limits the bodies of the requests.
     CallerListener(asio::io_context& context, RequestHandler& handler, TransferBudget& budget);
 
-    // Returns an error if the address is in use.
+    // Returns an error if the address is in use; may be called again then.
     Status open(const Endpoint& address);
+    bool isOpen() const { return this->acceptor.is_open(); }
     void close();
     // Closes the connections on which no request is being read or handled.
     void closeIdleSessions();
--- a/src/edge/include/wagtailrack/edge/EdgeNode.h
+++ b/src/edge/include/wagtailrack/edge/EdgeNode.h
@@ -45,7 +45,8 @@
         EdgePaths paths, MetadataStore& store, const ClusterCodec& codec);
     ~EdgeNode();
 
-    // Opens the listeners and starts the background tasks. Fails if an address is in use.
+    // Opens the listeners and starts the background tasks. Blocks while an address is in use, and fails when it still
+    // is after 10 s. Until it returns, signals have the actions that the caller has set.
     Status start();
 
 private:
@@ -59,6 +60,9 @@
     // Counters and gauges in the text format of Prometheus.
     std::string renderMetrics();
     void installCrashHooks();
+    // Opens the addresses that are not open yet.
+    Status openAddresses();
+    Status openDatagramSocket();
     void sendHeartbeats();
     void sendDatagram(uint32_t target, const std::string& bytes);
     asio::awaitable<void> runHeartbeatLoop();
--- a/src/edge/src/CallerSession.cpp
+++ b/src/edge/src/CallerSession.cpp
@@ -368,8 +368,10 @@
         this->acceptor.bind(endpoint, failure);
     if (!failure)
         this->acceptor.listen(listenBacklog, failure);
-    if (failure)
+    if (failure) {
+        this->close();
         return makeError(ErrorCode::ConnectFailed, address.toString(), failure.message());
+    }
     asio::co_spawn(
         this->context,
         [this] {
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -13,6 +13,7 @@
 #include <array>
 #include <charconv>
 #include <csignal>
+#include <thread>
 
 #include <unistd.h>
 
@@ -46,6 +47,10 @@
 // Fraction of the grace period in which requests are still accepted, from callers that have not switched to another
 // instance yet.
 constexpr double acceptingFraction = 0.4;
+// Longest wait for an address that is in use at the start, and time between two tries. A process that ends, or an
+// outgoing connection that was given the port, releases it within seconds.
+constexpr Milliseconds maximumAddressWait(10'000);
+constexpr Milliseconds addressRetryInterval(50);
 
 uint8_t domainIndex(const EdgeSettings& settings)
 {
@@ -150,7 +155,7 @@
     , readinessListener(context, *this->localHandler, this->localRequestBudget)
     , peerListener(context, *this->localHandler, this->localRequestBudget)
     , datagramSocket(context)
-    , signalSet(context, SIGTERM, SIGINT, SIGHUP)
+    , signalSet(context)
 {
 }
 
@@ -177,6 +182,43 @@
     });
 }
 
+Status EdgeNode::openDatagramSocket()
+{
+    if (this->datagramSocket.is_open())
+        return success();
+    const auto endpoint = asio::ip::udp::endpoint(
+        asio::ip::make_address(this->settings.membershipAddress.host), this->settings.membershipAddress.port);
+    error_code failure;
+    this->datagramSocket.open(endpoint.protocol(), failure);
+    if (!failure)
+        this->datagramSocket.bind(endpoint, failure);
+    if (!failure)
+        return success();
+    error_code ignored;
+    this->datagramSocket.close(ignored);
+    return makeError(ErrorCode::ConnectFailed, this->settings.membershipAddress.toString(), failure.message());
+}
+
+Status EdgeNode::openAddresses()
+{
+    if (Status status = this->openDatagramSocket(); !status)
+        return status;
+    // Callers come last: until all addresses are open, nobody accepts their connections.
+    const std::array<std::pair<CallerListener*, Endpoint>, 4> listeners { {
+        { &this->peerListener, this->settings.stateAddress },
+        { &this->lookupListener, this->settings.lookupAddress },
+        { &this->readinessListener, this->settings.readyAddress },
+        { &this->callerListener, this->settings.callerAddress },
+    } };
+    for (const auto& [listener, address] : listeners) {
+        if (listener->isOpen())
+            continue;
+        if (Status status = listener->open(address); !status)
+            return status;
+    }
+    return success();
+}
+
 Status EdgeNode::start()
 {
     this->fleet.setLeavingHook([this](const BackendServer& server, const char* reason) {
@@ -189,24 +231,19 @@
                 { "servers_age_ms", this->clusterState.serverRecordsAgeMs() } });
     });
     this->installCrashHooks();
-    const std::array<std::pair<CallerListener*, Endpoint>, 4> listeners { {
-        { &this->callerListener, this->settings.callerAddress },
-        { &this->lookupListener, this->settings.lookupAddress },
-        { &this->readinessListener, this->settings.readyAddress },
-        { &this->peerListener, this->settings.stateAddress },
-    } };
-    for (const auto& [listener, address] : listeners) {
-        if (Status status = listener->open(address); !status)
-            return status;
+    const SteadyTime giveUpAt = this->clock.now() + maximumAddressWait;
+    Status opened = this->openAddresses();
+    if (!opened)
+        this->log.write(LogCategory::ProcessState, "address-in-use", { { "reason", describe(opened.error()) } });
+    this->log.flush();
+    while (!opened && this->clock.now() < giveUpAt) {
+        std::this_thread::sleep_for(addressRetryInterval);
+        opened = this->openAddresses();
     }
-    error_code failure;
-    const auto membershipEndpoint = asio::ip::udp::endpoint(
-        asio::ip::make_address(this->settings.membershipAddress.host), this->settings.membershipAddress.port);
-    this->datagramSocket.open(membershipEndpoint.protocol(), failure);
-    if (!failure)
-        this->datagramSocket.bind(membershipEndpoint, failure);
-    if (failure)
-        return makeError(ErrorCode::ConnectFailed, this->settings.membershipAddress.toString(), failure.message());
+    if (!opened)
+        return opened;
+    for (const int number : { SIGTERM, SIGINT, SIGHUP })
+        this->signalSet.add(number);
     this->clusterState.start();
     const auto run = [this](const char* name, asio::awaitable<void> (EdgeNode::*task)()) {
         asio::co_spawn(
