EdgeStartTest: ports at a loopback address of its own

The test drew its ports from a range that overlaps the blocks of harness/freePort, from which the test programs beside it take theirs; a shared port could fail it or make another test wait. It now uses fixed ports at a loopback address that follows from the process id, as the soak does for its instances.

--- a/tests/EdgeStartTest.cpp
+++ b/tests/EdgeStartTest.cpp
@@ -17,12 +17,24 @@
 
 namespace {
 
-constexpr const char* host = "127.0.0.1";
+constexpr uint16_t callerPort = 7100;
+constexpr uint16_t directoryPort = 7101;
+constexpr uint16_t readyPort = 7102;
+// The first port carries datagrams, the next one the state for peers.
+constexpr uint16_t firstInternalPort = 7200;
+constexpr uint16_t statePort = firstInternalPort + 1;
 // Time in which a process that gives up has ended.
 constexpr Milliseconds observationTime(700);
 constexpr Milliseconds startTime(5000);
 
-// A socket of a kind at a port of the loopback interface.
+// A loopback address of this process alone: test programs that run side by side use the same ports.
+std::string ownHost()
+{
+    const pid_t id = ::getpid();
+    return "127.9." + std::to_string(id / 250 % 250) + "." + std::to_string(1 + id % 250);
+}
+
+// A socket of a kind at a port of the own address.
 class BoundSocket {
 public:
     BoundSocket(int kind, uint16_t port)
@@ -44,7 +56,7 @@
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_port = htons(port);
-        inet_pton(AF_INET, host, &address.sin_addr);
+        inet_pton(AF_INET, ownHost().c_str(), &address.sin_addr);
         return address;
     }
 
@@ -52,9 +64,6 @@
     int handle;
 };
 
-// First of 32 ports that belong to this process. Below those that the system gives to outgoing connections.
-uint16_t firstPort() { return static_cast<uint16_t>(10'000 + ::getpid() % 600 * 32); }
-
 // Returns the connected socket, -1 if nothing listens.
 int connectTo(uint16_t port)
 {
@@ -72,24 +81,20 @@
 TEST_GROUP(EdgeStart)
 {
     const std::string path = std::string(BINARY_FOLDER) + "/edge-start-test.conf";
-    const uint16_t callerPort = firstPort();
-    const uint16_t directoryPort = firstPort() + 1;
-    const uint16_t readyPort = firstPort() + 2;
-    const uint16_t firstInternalPort = firstPort() + 3;
 
     void setup() override { ::unlink(this->path.c_str()); }
     void teardown() override { ::unlink(this->path.c_str()); }
 
     std::string settingsText() const
     {
-        const std::string prefix = std::string(host) + ":";
-        return "self.node_id=edge-a\nself.ip=" + std::string(host)
+        const std::string prefix = ownHost() + ":";
+        return "self.node_id=edge-a\nself.ip=" + ownHost()
             + "\nself.zone=north-a\nself.region=north\nself.bootstrap=false\nself.limits.memory_mb=260\n"
               "self.limits.link_mbps=1000\nnetwork.listen.front="
-            + prefix + std::to_string(this->callerPort) + "\nnetwork.listen.directory=" + prefix
-            + std::to_string(this->directoryPort) + "\nnetwork.listen.ready=" + prefix + std::to_string(this->readyPort)
-            + "\nnetwork.internal_ports=" + std::to_string(this->firstInternalPort) + ","
-            + std::to_string(this->firstInternalPort + 15) + "\nplatform.platform.addr=" + prefix + "1\n"
+            + prefix + std::to_string(callerPort) + "\nnetwork.listen.directory=" + prefix
+            + std::to_string(directoryPort) + "\nnetwork.listen.ready=" + prefix + std::to_string(readyPort)
+            + "\nnetwork.internal_ports=" + std::to_string(firstInternalPort) + ","
+            + std::to_string(firstInternalPort + 15) + "\nplatform.platform.addr=" + prefix + "1\n"
             + "terms.bounds.grace_s=6\nterms.bounds.ttl_max_s=5\nterms.bounds.retry_ratio=0.2\n"
               "terms.bounds.retry_slack=20\nterms.bounds.cold_slack=5\nnetwork.zones.north-a=north\n";
     }
@@ -114,7 +119,7 @@
     {
         const SteadyTime end = std::chrono::steady_clock::now() + startTime;
         while (std::chrono::steady_clock::now() < end && instance.isRunning()) {
-            const int connection = connectTo(this->callerPort);
+            const int connection = connectTo(callerPort);
             if (connection >= 0) {
                 ::close(connection);
                 return true;
@@ -130,8 +135,7 @@
 TEST(EdgeStart, addressInUseIsWaitedFor)
 {
     this->writeSettings(this->settingsText());
-    for (const uint16_t port : { this->callerPort, this->readyPort, this->directoryPort, this->firstInternalPort,
-             static_cast<uint16_t>(this->firstInternalPort + 1) }) {
+    for (const uint16_t port : { callerPort, readyPort, directoryPort, firstInternalPort, statePort }) {
         auto stream = std::make_unique<BoundSocket>(SOCK_STREAM, port);
         auto datagram = std::make_unique<BoundSocket>(SOCK_DGRAM, port);
         ChildProcess instance = this->startInstance();
@@ -158,7 +162,7 @@
 TEST(EdgeStart, waitingForAnAddressEndsWithSigterm)
 {
     this->writeSettings(this->settingsText());
-    const BoundSocket stream(SOCK_STREAM, this->callerPort);
+    const BoundSocket stream(SOCK_STREAM, callerPort);
     ChildProcess instance = this->startInstance();
     CHECK_TRUE(this->keepsRunning(instance));
     instance.terminate();
@@ -175,7 +179,7 @@
         ChildProcess instance = this->startInstance();
         CHECK_TRUE(this->isListening(instance));
         for (int index = 0; index < 5; ++index)
-            connections.push_back(connectTo(this->callerPort));
+            connections.push_back(connectTo(callerPort));
         instance.kill();
     }
     for (const int connection : connections)
