--- a/src/edge/src/TransferBudget.cpp
+++ b/src/edge/src/TransferBudget.cpp
@@ -10,8 +10,8 @@
 // that a message of the store, at most 1.4 MB, always fits.
 constexpr size_t messageMemoryDivisor = 32;
 constexpr size_t totalMemoryDivisor = 8;
-// Fraction of an instance's memory for all messages and receive buffers. The rest is for the state of the cluster, and
-// for copies of a message while it grows and is forwarded.
+// Fraction of an instance's memory for all messages and receive buffers of one budget. An instance has three: for
+// callers and servers, for peers, and for the store.
 constexpr size_t heldMemoryDivisor = 4;
 // Fraction of the link for large messages; the rest is left to ordinary ones.
 constexpr double largeMessageLinkRatio = 0.25;
