Configuration with tenants: API keys are checked, tenants' priorities and home regions apply

Cause: a configuration with routes of type download, or with tenants, was refused as a whole, so that an instance had no configuration and answered every request with 503. The tenants' API keys were passed on to the servers.

Change: TenantDirectory holds the tenants and their keys; a request without a valid key gets 401, or 503 while a newer version may be on its way. The server gets the tenant's name in place of the key. A tenant's home regions apply beside those of the route. A fourth figure in the load header no longer hides the number of slots.

Ruled out: refusing single routes of an unknown type; the last valid version stays in force as a whole, as before.

--- a/src/edge/include/wagtailrack/edge/EdgeSettings.h
+++ b/src/edge/include/wagtailrack/edge/EdgeSettings.h
@@ -25,6 +25,10 @@
     int64_t maximumLookupValidityMs = 5000;
     // Size of a burst beyond its request rate that a cold server can handle, summed over all instances.
     double coldSlack = 5;
+    // Whether requests with an API key are refused while the copy of the configuration is older than `keyWithdrawalMs`,
+    // the time in which a withdrawn key has to stop working.
+    bool isKeyConfirmationRequired = false;
+    int64_t keyWithdrawalMs = 5000;
 
     friend bool operator==(const FleetBounds&, const FleetBounds&) = default;
 };
--- a/src/edge/include/wagtailrack/edge/Http.h
+++ b/src/edge/include/wagtailrack/edge/Http.h
@@ -35,10 +35,14 @@
     std::string responseSeal;
     // Id of the only server that may execute the request.
     std::string expectedServerId;
-    // "running,waiting,slots" of the server: requests that are executed, requests in the queue, and capacity.
+    // "running,waiting,slots" of the server: requests that are executed, requests in the queue, and capacity. May be
+    // followed by the processing time on the server's machine at this moment in percent of the usual one, and by
+    // further figures.
     std::string serverLoad;
     // Set by a server that did not execute the request.
     std::string notExecuted;
+    // Name of the tenant for which a request is executed. Set by the instance; the value of a caller is dropped.
+    std::string tenant;
 };
 
 Tcp::endpoint toTcpEndpoint(const Endpoint& endpoint);
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <wagtailrack/edge/ApiKey.h>
 #include <wagtailrack/edge/BackendFleet.h>
 #include <wagtailrack/edge/CallerSession.h>
 #include <wagtailrack/edge/ClusterStateCache.h>
@@ -64,7 +65,12 @@
     struct ForwardingState {
         ExchangePointer exchange;
         RoutingTablePointer routingTable;
+        // The route, with the regions that both it and the tenant allow.
         RouteRule rule;
+        // Name of the tenant whose API key the request carries; empty if it carries none.
+        std::string tenantName;
+        // The tenant's priority if it has one, otherwise that of the route.
+        int64_t priority = 0;
         std::string requestId;
         RequestFingerprint fingerprint = 0;
         std::string affinityKey;
@@ -115,6 +121,11 @@
     void finishAfterFailure(ForwardingState& state, const char* reason);
     NextStep retryOrFinish(ForwardingState& state);
     bool prepareRequest(ForwardingState& state);
+    // Finds the route and the tenant of the request in `state.routingTable`. Responds to the caller and returns false
+    // if the request must not be forwarded.
+    bool resolveRoute(ForwardingState& state);
+    // As resolveRoute(), for the API key alone.
+    bool resolveTenant(ForwardingState& state);
     static ConnectionUse connectionUseOf(const ForwardingState& state);
     std::shared_ptr<Call> makeCall(const ForwardingState& state, const BackendServer& server) const;
     // `durationMs` is the duration of the attempt without the time to connect and the network round trip.
@@ -132,6 +143,7 @@
     void rejectFor(ForwardingState& state, const char* reason, double seconds);
     void respondWithError(ForwardingState& state, http::status status, const char* reason);
     void refuseUnknownRoute(ForwardingState& state);
+    void refuseKey(ForwardingState& state, KeyProblem problem);
     void forwardResponse(ForwardingState& state, HttpResponse response, const char* outcome);
     void recordCompletion(const ForwardingState& state);
     // `origin` is "instance" for a response that this instance made, and "server" for one of a server.
--- a/src/edge/include/wagtailrack/edge/RoutingTable.h
+++ b/src/edge/include/wagtailrack/edge/RoutingTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <wagtailrack/edge/TenantDirectory.h>
 #include <wagtailrack/version/Route.h>
 
 #include <compare>
@@ -41,6 +42,10 @@
     std::vector<std::string> homeRegions;
     // Whether a server is faster on objects that it has handled before.
     bool hasAffinity = false;
+    // Whether requests need no API key although the configuration has tenants.
+    bool isAnonymous = false;
+    // Whether responses are too large to be held whole by many requests at the same time.
+    bool hasLargeResponses = false;
 
     friend bool operator==(const RouteRule&, const RouteRule&) = default;
 };
@@ -74,7 +79,8 @@
     using RoutesByHost = std::map<std::string, std::vector<RouteRule>, std::less<>>;
     using ServicesByName = std::map<std::string, ServiceSettings, std::less<>>;
 
-    RoutingTable(uint64_t version, CallerLimits limits, RoutesByHost hosts, ServicesByName services);
+    RoutingTable(uint64_t version, CallerLimits limits, RoutesByHost hosts, ServicesByName services,
+        TenantDirectory directory = {});
     // The index refers to the rules of the same object.
     RoutingTable(const RoutingTable&) = delete;
     RoutingTable& operator=(const RoutingTable&) = delete;
@@ -87,6 +93,12 @@
     // Null if the service is not in the table.
     const ServiceSettings* findService(std::string_view name) const noexcept;
 
+    // Whether requests need an API key, unless their route is anonymous.
+    bool hasTenants() const noexcept { return !this->tenants.isEmpty(); }
+    // The tenant that holds an API key; null if none does.
+    const Tenant* findTenant(std::string_view key) const noexcept { return this->tenants.findByKey(key); }
+    const Tenant* findTenantByName(std::string_view name) const noexcept { return this->tenants.findByName(name); }
+
     uint64_t version() const noexcept { return this->versionNumber; }
     const CallerLimits& limits() const noexcept { return this->callerLimits; }
     size_t routeCount() const noexcept;
@@ -104,6 +116,7 @@
     const RoutesByHost routesByHost;
     std::unordered_map<std::string_view, HostIndex> indexByHost;
     ServicesByName servicesByName;
+    TenantDirectory tenants;
 };
 
 using RoutingTablePointer = std::shared_ptr<const RoutingTable>;
--- /dev/null
+++ b/src/edge/include/wagtailrack/edge/TenantDirectory.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace wagtailrack::edge {
+
+// A customer of the operator whose requests carry an API key, with what the configuration grants to it.
+struct Tenant {
+    std::string name;
+    // Takes precedence over the route's priority; 0 is the highest.
+    std::optional<int64_t> priority;
+    // Usage limit over all instances together: requests per second, and the number of requests beyond this rate.
+    // 0 requests per second: not limited.
+    double requestsPerSecond = 0;
+    double burst = 0;
+    // Regions whose servers may execute the requests; empty allows all regions.
+    std::vector<std::string> homeRegions;
+
+    friend bool operator==(const Tenant&, const Tenant&) = default;
+};
+
+// The tenants of one configuration version and their API keys. Immutable once it is part of a RoutingTable.
+//
+// A lookup takes the same time for any number of keys, and its time does not depend on how much of a wrong key is
+// right: keys are found by a hash with a secret seed, and compared in constant time.
+class TenantDirectory {
+public:
+    TenantDirectory();
+    // The indexes refer to the tenants of the same object; these keep their addresses when it is moved.
+    TenantDirectory(const TenantDirectory&) = delete;
+    TenantDirectory& operator=(const TenantDirectory&) = delete;
+    TenantDirectory(TenantDirectory&&) = default;
+    TenantDirectory& operator=(TenantDirectory&&) = default;
+
+    // Returns false if the name is taken by another tenant, or if another tenant holds one of the keys.
+    bool add(Tenant tenant, const std::vector<std::string>& keys);
+
+    bool isEmpty() const noexcept { return this->tenants.empty(); }
+    size_t tenantCount() const noexcept { return this->tenants.size(); }
+    size_t keyCount() const noexcept { return this->keysByHash.size(); }
+    // The tenant that holds `key`; null if none does.
+    const Tenant* findByKey(std::string_view key) const noexcept;
+    const Tenant* findByName(std::string_view name) const noexcept;
+
+private:
+    struct Key {
+        std::string text;
+        const Tenant* tenant = nullptr;
+    };
+
+    uint64_t hashSeed;
+    // A deque, because the maps refer to its elements.
+    std::deque<Tenant> tenants;
+    std::map<std::string_view, const Tenant*> tenantsByName;
+    std::unordered_multimap<uint64_t, Key> keysByHash;
+};
+
+}
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -61,6 +61,7 @@
 constexpr const char* noRouteOutcome = "no-route";
 constexpr const char* noConfigurationOutcome = "no-configuration";
 constexpr const char* configurationOutdatedOutcome = "configuration-outdated";
+constexpr const char* keysUnconfirmedOutcome = "keys-unconfirmed";
 
 double millisecondsSince(SteadyTime from, SteadyTime to)
 {
@@ -249,6 +250,68 @@
         this->respondWithError(state, http::status::not_found, noRouteOutcome);
 }
 
+void RequestForwarder::refuseKey(ForwardingState& state, KeyProblem problem)
+{
+    // A caller does not repeat a request after 401, so that status is only for a key that no version in force has.
+    if (this->dependencies.clusterState.isConfigurationOutdated()) {
+        this->reject(state, configurationOutdatedOutcome, unconfiguredRetryAfterSeconds);
+        return;
+    }
+    this->respondWithError(state, http::status::unauthorized, toString(problem));
+    state.exchange->response.set(http::field::www_authenticate, "Bearer");
+}
+
+bool RequestForwarder::resolveTenant(ForwardingState& state)
+{
+    const RoutingTable& table = *state.routingTable;
+    state.tenantName.clear();
+    state.priority = state.rule.priority;
+    if (!table.hasTenants())
+        return true;
+    KeyProblem problem = KeyProblem::Missing;
+    const std::string_view key = bearerKey(state.exchange->request.base(), problem);
+    const Tenant* tenant = key.empty() ? nullptr : table.findTenant(key);
+    if (!tenant) {
+        if (state.rule.isAnonymous)
+            return true;
+        this->refuseKey(state, key.empty() ? problem : KeyProblem::Unknown);
+        return false;
+    }
+    const FleetBounds& bounds = this->dependencies.settings.bounds;
+    // The key may have been withdrawn by a version that has not arrived.
+    if (bounds.isKeyConfirmationRequired && this->configurationAgeMs() > bounds.keyWithdrawalMs) {
+        this->reject(state, keysUnconfirmedOutcome, unconfiguredRetryAfterSeconds);
+        return false;
+    }
+    state.tenantName = tenant->name;
+    state.priority = tenant->priority.value_or(state.rule.priority);
+    if (tenant->homeRegions.empty())
+        return true;
+    std::vector<std::string>& regions = state.rule.homeRegions;
+    if (regions.empty()) {
+        regions = tenant->homeRegions;
+        return true;
+    }
+    std::erase_if(regions, [tenant](const std::string& region) {
+        return std::find(tenant->homeRegions.begin(), tenant->homeRegions.end(), region) == tenant->homeRegions.end();
+    });
+    if (!regions.empty())
+        return true;
+    this->reject(state, "no-common-home", unconfiguredRetryAfterSeconds);
+    return false;
+}
+
+bool RequestForwarder::resolveRoute(ForwardingState& state)
+{
+    const RouteRule* rule = findRule(*state.routingTable, state.exchange->request);
+    if (!rule) {
+        this->refuseUnknownRoute(state);
+        return false;
+    }
+    state.rule = *rule;
+    return this->resolveTenant(state);
+}
+
 bool RequestForwarder::prepareRequest(ForwardingState& state)
 {
     const HttpRequest& request = state.exchange->request;
@@ -268,19 +331,16 @@
         this->reject(state, noConfigurationOutcome, unconfiguredRetryAfterSeconds);
         return false;
     }
-    const RouteRule* rule = findRule(*state.routingTable, request);
-    if (!rule) {
-        this->refuseUnknownRoute(state);
+    if (!this->resolveRoute(state))
         return false;
-    }
-    state.rule = *rule;
-    state.affinityKey = rule->hasAffinity ? cookieValue(request.base(), headers.affinityCookie) : std::string();
+    const RouteRule& rule = state.rule;
+    state.affinityKey = rule.hasAffinity ? cookieValue(request.base(), headers.affinityCookie) : std::string();
     int64_t callerTimeoutMs = parseNumber(headerValue(request.base(), headers.deadlineMs));
     if (callerTimeoutMs < 0)
-        callerTimeoutMs = rule->timeoutMs;
-    state.isReturning = this->isReturningCaller(*rule, callerTimeoutMs);
-    state.deadline = state.exchange->arrivedAt + Milliseconds(std::min(callerTimeoutMs, rule->timeoutMs));
-    state.serviceName = this->chooseService(*rule);
+        callerTimeoutMs = rule.timeoutMs;
+    state.isReturning = this->isReturningCaller(rule, callerTimeoutMs);
+    state.deadline = state.exchange->arrivedAt + Milliseconds(std::min(callerTimeoutMs, rule.timeoutMs));
+    state.serviceName = this->chooseService(rule);
     this->updateInstanceCounts();
     const FleetBounds& bounds = this->dependencies.settings.bounds;
     this->retryTokenBuckets[state.serviceName].recordRequest(bounds.retryRatio, this->retrySlackPerInstance());
@@ -366,17 +426,13 @@
         const RoutingTablePointer table = this->dependencies.clusterState.routingTable();
         if (table != state.routingTable && state.sendCount == 0) {
             state.routingTable = table;
-            const HttpRequest& request = state.exchange->request;
-            const RouteRule* rule = findRule(*table, request);
-            if (!rule) {
-                this->refuseUnknownRoute(state);
+            if (!this->resolveRoute(state))
                 co_return;
-            }
-            state.rule = *rule;
-            const bool isStillAllowed = std::any_of(rule->weightedServices.begin(), rule->weightedServices.end(),
-                [&state](const WeightedService& share) { return share.service == state.serviceName; });
+            const bool isStillAllowed
+                = std::any_of(state.rule.weightedServices.begin(), state.rule.weightedServices.end(),
+                    [&state](const WeightedService& share) { return share.service == state.serviceName; });
             if (!isStillAllowed)
-                state.serviceName = this->chooseService(*rule);
+                state.serviceName = this->chooseService(state.rule);
         }
         const ServiceSettings* service = state.routingTable->findService(state.serviceName);
         const ServiceSettings unknown { state.serviceName, 0, 0, 1 };
@@ -417,6 +473,12 @@
     call->request = state.exchange->request;
     call->requestMemory = state.exchange->requestMemory;
     removeHopByHopHeaders(call->request);
+    if (state.routingTable->hasTenants()) {
+        call->request.erase(http::field::authorization);
+        call->request.erase(headers.tenant);
+        if (!state.tenantName.empty())
+            call->request.set(headers.tenant, state.tenantName);
+    }
     call->request.version(11);
     call->request.prepare_payload();
     const double left = std::max(1.0, this->remainingMs(state));
@@ -570,7 +632,7 @@
     const std::string_view view = text;
     const int64_t executing = parseNumber(view.substr(0, first));
     const int64_t waiting = parseNumber(view.substr(first + 1, second - first - 1));
-    const int64_t slots = parseNumber(view.substr(second + 1));
+    const int64_t slots = parseNumber(view.substr(second + 1, view.find(',', second + 1) - second - 1));
     if (executing >= 0 && waiting >= 0)
         this->dependencies.fleet.recordLoadReport(server, executing, waiting, slots);
 }
@@ -661,7 +723,8 @@
         = state.isServerResponse && !headerValue(response.base(), this->dependencies.headers.responseSeal).empty();
     this->countResponse(response.result_int(), state.isServerResponse ? "server" : "instance");
     std::vector<LogField> fields { { "id", state.requestId }, { "request", toString(state.fingerprint) },
-        { "route", state.rule.name }, { "version", state.routingTable ? state.routingTable->version() : 0 },
+        { "route", state.rule.name }, { "tenant", state.tenantName },
+        { "version", state.routingTable ? state.routingTable->version() : 0 },
         { "configuration_age_ms", this->configurationAgeMs() }, { "service", state.serviceName },
         { "server", state.lastServerId }, { "sends", state.sendCount },
         { "connect_failures", state.connectFailureCount }, { "last_end", state.lastCallOutcome },
--- a/src/edge/src/RoutingTable.cpp
+++ b/src/edge/src/RoutingTable.cpp
@@ -6,11 +6,13 @@
 
 namespace wagtailrack::edge {
 
-RoutingTable::RoutingTable(uint64_t version, CallerLimits limits, RoutesByHost hosts, ServicesByName services)
+RoutingTable::RoutingTable(
+    uint64_t version, CallerLimits limits, RoutesByHost hosts, ServicesByName services, TenantDirectory directory)
     : versionNumber(version)
     , callerLimits(limits)
     , routesByHost(std::move(hosts))
     , servicesByName(std::move(services))
+    , tenants(std::move(directory))
 {
     this->callerLimits.configurationVersion = version;
     this->indexByHost.reserve(this->routesByHost.size());
