HttpConnection: a response whose status is outside 200 to 599 is invalid

Cause: `wagtailrack serve` passed on any status that has three digits, also 000, as the answer to the caller's request (seen with a new test: 000 reached the caller).

Change: such a response fails the exchange with AnswerInvalid and its connection is closed, so that the attempt counts as a wrong answer of the server. Ruled out: mapping it to 502 further up, where the connection would be used again.

Tests: InvalidStatus fails before the change and passes after it; all of connection-tests passed.

--- a/src/connection/src/HttpConnection.cpp
+++ b/src/connection/src/HttpConnection.cpp
@@ -60,6 +60,9 @@
     return lengths == 1 && !isChunked && isDecimal(response.get_header_value("Content-Length"));
 }
 
+// A server in trouble may send any three digits. Interim responses (100 to 199) are not final ones either.
+bool isFinalStatus(int status) noexcept { return status >= 200 && status <= 599; }
+
 }
 
 class HttpConnection::Implementation final : public httplib::ClientImpl {
@@ -144,7 +147,7 @@
     message.response_handler = [&](const httplib::Response& head) {
         const bool isTooLong = head.has_header("Content-Length")
             && head.get_header_value<uint64_t>("Content-Length") > static_cast<uint64_t>(limits.maxBodyBytes);
-        if (!hasSoundLength(head, request.method))
+        if (!isFinalStatus(head.status) || !hasSoundLength(head, request.method))
             refusal = ErrorCode::AnswerInvalid;
         else if (isTooLong && request.method != "HEAD")
             refusal = ErrorCode::AnswerTooLarge;
