HttpConnectionPool: a response whose status is outside 200 to 599 is a broken one

Change: an interim response is one of 1xx without a length, an encoding or a request id, and does not switch protocols. Any other status outside 200 to 599 breaks the call: the connection is closed, the server counts as failing, an order is answered as unknown at once and an idempotent request is sent to another server. The store and peers use the same pool.

Ruled out: treating every unknown 1xx as broken, since RFC 9110 asks clients to skip them.

--- a/src/edge/src/HttpConnectionPool.cpp
+++ b/src/edge/src/HttpConnectionPool.cpp
@@ -39,6 +39,21 @@
     return timeoutSeconds;
 }
 
+// Returns whether the response is an interim one, which the final response follows. A server in trouble may also send a
+// 1xx status as its final response: that one has the fields of a response to the request (RFC 9110, 15.2 and 8.6), or
+// switches to a protocol that was not asked for.
+bool isInterim(const Call& call, const HttpResponse& response)
+{
+    const unsigned status = response.result_int();
+    return status >= 100 && status < 200 && response.result() != http::status::switching_protocols
+        && response.find(http::field::content_length) == response.end()
+        && response.find(http::field::transfer_encoding) == response.end()
+        && (call.echoHeader.empty() || response.find(call.echoHeader) == response.end());
+}
+
+// Whether HTTP defines the status as that of a final response. A server in trouble may send any three digits.
+bool isFinalStatus(unsigned status) { return status >= 200 && status <= 599; }
+
 // Returns whether the response belongs to the call's request.
 bool isEchoAccepted(const Call& call, const HttpResponse& response)
 {
@@ -228,9 +243,10 @@
             outcome = readOutcome;
             break;
         }
-        // An interim response (1xx) is followed by the final response.
-        if (parser.get().result_int() < 200)
+        if (isInterim(*call, parser.get()))
             continue;
+        if (!isFinalStatus(parser.get().result_int()))
+            break;
         // A response without a length ends with its connection; if that failed, the rest of the response is missing.
         if (parser.need_eof() && !isClosedByPeer(connection->socket))
             break;
