--- a/bench/src/Benchmark.h
+++ b/bench/src/Benchmark.h
@@ -17,6 +17,7 @@
 void runShares();
 void runGate();
 void runExperiment();
+void runApiKeys();
 void runConfiguration();
 void runMembership();
 
--- a/bench/src/main.cpp
+++ b/bench/src/main.cpp
@@ -12,6 +12,7 @@
     { "shares", "slot shares at different numbers of members", &runShares },
     { "gate", "admissions of the shift gate a second", &runGate },
     { "experiment", "three strategies on six failure domains, decisions only", &runExperiment },
+    { "api-keys", "look-ups of API keys at different numbers of keys", &runApiKeys },
     { "configuration", "decoding and route look-ups at different numbers of routes; base64", &runConfiguration },
     { "membership", "gossip of instances: which of them are taken for alive, and its cost", &runMembership },
 };
