--- a/src/edge/include/wagtailrack/edge/RoutingTable.h
+++ b/src/edge/include/wagtailrack/edge/RoutingTable.h
@@ -99,6 +99,8 @@
     const Tenant* findTenant(std::string_view key) const noexcept { return this->tenants.findByKey(key); }
     const Tenant* findTenantByName(std::string_view name) const noexcept { return this->tenants.findByName(name); }
 
+    const TenantDirectory& tenantDirectory() const noexcept { return this->tenants; }
+
     uint64_t version() const noexcept { return this->versionNumber; }
     const CallerLimits& limits() const noexcept { return this->callerLimits; }
     size_t routeCount() const noexcept;
--- a/src/edge/include/wagtailrack/edge/TenantDirectory.h
+++ b/src/edge/include/wagtailrack/edge/TenantDirectory.h
@@ -45,6 +45,7 @@
 
     bool isEmpty() const noexcept { return this->tenants.empty(); }
     size_t tenantCount() const noexcept { return this->tenants.size(); }
+    const std::deque<Tenant>& all() const noexcept { return this->tenants; }
     size_t keyCount() const noexcept { return this->keysByHash.size(); }
     // The tenant that holds `key`; null if none does.
     const Tenant* findByKey(std::string_view key) const noexcept;
--- /dev/null
+++ b/src/edge/include/wagtailrack/edge/UsageLimiter.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <wagtailrack/base/Clock.h>
+#include <wagtailrack/edge/TenantDirectory.h>
+#include <wagtailrack/edge/UsageMessages.h>
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <string_view>
+#include <vector>
+
+namespace wagtailrack::edge {
+
+TenantKey tenantKey(std::string_view tenantName) noexcept;
+
+// Rate of events per second, as an average in which older events count exponentially less.
+class DecayingRate {
+public:
+    void add(double count, SteadyTime now) noexcept;
+    double perSecond(SteadyTime now) const noexcept;
+
+private:
+    double value = 0;
+    SteadyTime updatedAt;
+};
+
+struct UsageDecision {
+    bool isAllowed = false;
+    // No token is left here, but one may arrive within UsageLimiter::maximumWait: ask again with continueWaiting().
+    bool isPending = false;
+    // When a token is expected, if the request is refused.
+    SteadyTime retryAt;
+    // Until when refund() may return the token of an allowed request.
+    SteadyTime refundableUntil;
+};
+
+// Decides whether a request is within its tenant's usage limit. Holds the tokens that UsageExchange has been granted,
+// each valid for a short time, and never creates any: the limit is that of the hubs' buckets (see UsageHub), whatever
+// happens to messages and instances. Without grants, requests of limited tenants are refused. Lives as long as the
+// process; must be used from one thread only.
+class UsageLimiter {
+public:
+    // Longest time that a request waits for a token. A hub that has none left gets some from another region within a
+    // round trip of 110 ms and one or two request intervals.
+    static constexpr Milliseconds maximumWait { 300 };
+
+    explicit UsageLimiter(const Clock& clock);
+
+    // Takes one token. A request for which the decision is pending has to be asked for again until it is decided.
+    UsageDecision admit(const Tenant& tenant);
+    UsageDecision continueWaiting(const Tenant& tenant, SteadyTime waitingSince);
+    // Returns the token of a request that did not run; ignored after `refundableUntil`, when the limit may have been
+    // given out again.
+    void refund(std::string_view tenantName, SteadyTime refundableUntil);
+
+    // What this instance can use now, for the tenants of which it can use anything.
+    std::vector<UsageNeed> collectNeeds();
+    void addTokens(TenantKey tenant, size_t count, SteadyTime validUntil);
+    // Removes the state of tenants without recent requests.
+    void removeExpired();
+
+private:
+    struct Tokens {
+        size_t count = 0;
+        SteadyTime validUntil;
+    };
+
+    struct TenantState {
+        // Ordered by the end of their validity.
+        std::deque<Tokens> tokens;
+        // For each request that waits, when it stops waiting. Entries of requests that were abandoned expire.
+        std::deque<SteadyTime> waiting;
+        DecayingRate demand;
+        DecayingRate granted;
+        SteadyTime lastRequestAt;
+        // Latest time at which a request waited in vain.
+        SteadyTime deniedAt;
+    };
+
+    void removeOutdated(TenantState& state) const;
+    static size_t tokenCount(const TenantState& state) noexcept;
+    static UsageDecision takeToken(TenantState& state);
+    size_t maximumWaiting(const TenantState& state) const;
+    UsageDecision refuse(const TenantState& state) const;
+
+    const Clock& clock;
+    std::map<TenantKey, TenantState> states;
+};
+
+}
--- /dev/null
+++ b/src/edge/src/UsageLimiter.cpp
@@ -0,0 +1,178 @@
+#include <wagtailrack/edge/UsageLimiter.h>
+
+#include <wagtailrack/base/Hash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace wagtailrack::edge {
+
+namespace {
+
+// Time over which demand and grants are averaged. Short, so that tokens follow demand that moves within a second.
+constexpr double rateAverageSeconds = 0.5;
+// Tokens are requested in advance for this much of the demand: about a request interval and a round trip to the hub.
+constexpr double prefetchSeconds = 0.15;
+// After a request waited in vain, no more requests wait than will probably get a token, for this long.
+constexpr Milliseconds denialValidity(1000);
+// Requests that wait while no request of the tenant has waited in vain.
+constexpr size_t maximumWaitingUndenied = 64;
+// A tenant without requests for this long has no state. Ten times the time over which its demand is averaged.
+constexpr Milliseconds stateValidity(5000);
+// Bounds of the time after which a refused request is told to come back. A token for a tenant without grants is
+// expected after the lower one at the earliest, and the limit has been given out anew after the upper one.
+constexpr double minimumRetrySeconds = 0.1;
+constexpr double maximumRetrySeconds = 5;
+
+double seconds(SteadyTime::duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+uint32_t toCount(double value) { return static_cast<uint32_t>(std::clamp(value, 0.0, 4e9)); }
+
+}
+
+TenantKey tenantKey(std::string_view tenantName) noexcept { return static_cast<TenantKey>(hash64(tenantName)); }
+
+void DecayingRate::add(double count, SteadyTime now) noexcept
+{
+    this->value = this->perSecond(now) + count / rateAverageSeconds;
+    this->updatedAt = now;
+}
+
+double DecayingRate::perSecond(SteadyTime now) const noexcept
+{
+    return this->value * std::exp(-seconds(now - this->updatedAt) / rateAverageSeconds);
+}
+
+UsageLimiter::UsageLimiter(const Clock& clock)
+    : clock(clock)
+{
+}
+
+void UsageLimiter::removeOutdated(TenantState& state) const
+{
+    const SteadyTime now = this->clock.now();
+    while (!state.tokens.empty() && state.tokens.front().validUntil <= now)
+        state.tokens.pop_front();
+    while (!state.waiting.empty() && state.waiting.front() <= now)
+        state.waiting.pop_front();
+}
+
+size_t UsageLimiter::tokenCount(const TenantState& state) noexcept
+{
+    size_t count = 0;
+    for (const Tokens& tokens : state.tokens)
+        count += tokens.count;
+    return count;
+}
+
+UsageDecision UsageLimiter::takeToken(TenantState& state)
+{
+    Tokens& oldest = state.tokens.front();
+    const SteadyTime validUntil = oldest.validUntil;
+    if (--oldest.count == 0)
+        state.tokens.pop_front();
+    return { true, false, {}, validUntil };
+}
+
+size_t UsageLimiter::maximumWaiting(const TenantState& state) const
+{
+    const SteadyTime now = this->clock.now();
+    if (now - state.deniedAt >= denialValidity)
+        return maximumWaitingUndenied;
+    const double expected = state.granted.perSecond(now) * seconds(maximumWait);
+    // At least one, whose need tells the hub that there is demand.
+    return std::clamp<size_t>(static_cast<size_t>(expected), 1, maximumWaitingUndenied);
+}
+
+UsageDecision UsageLimiter::refuse(const TenantState& state) const
+{
+    const SteadyTime now = this->clock.now();
+    const double grantedPerSecond = std::max(state.granted.perSecond(now), 1 / maximumRetrySeconds);
+    const double wait = std::clamp(
+        static_cast<double>(state.waiting.size() + 1) / grantedPerSecond, minimumRetrySeconds, maximumRetrySeconds);
+    return { false, false, now + std::chrono::duration_cast<SteadyTime::duration>(std::chrono::duration<double>(wait)),
+        {} };
+}
+
+UsageDecision UsageLimiter::admit(const Tenant& tenant)
+{
+    if (tenant.requestsPerSecond <= 0)
+        return { true, false, {}, {} };
+    const SteadyTime now = this->clock.now();
+    TenantState& state = this->states[tenantKey(tenant.name)];
+    this->removeOutdated(state);
+    state.demand.add(1, now);
+    state.lastRequestAt = now;
+    // Requests that wait are served first.
+    if (tokenCount(state) > state.waiting.size())
+        return takeToken(state);
+    if (state.waiting.size() >= this->maximumWaiting(state))
+        return this->refuse(state);
+    state.waiting.push_back(now + maximumWait);
+    return { false, true, {}, {} };
+}
+
+UsageDecision UsageLimiter::continueWaiting(const Tenant& tenant, SteadyTime waitingSince)
+{
+    const SteadyTime now = this->clock.now();
+    TenantState& state = this->states[tenantKey(tenant.name)];
+    this->removeOutdated(state);
+    const SteadyTime waitsUntil = waitingSince + maximumWait;
+    const auto entry = std::find(state.waiting.begin(), state.waiting.end(), waitsUntil);
+    // The requests that wait longest get the tokens.
+    const auto position = static_cast<size_t>(entry - state.waiting.begin());
+    if (entry != state.waiting.end() && position < tokenCount(state)) {
+        state.waiting.erase(entry);
+        return takeToken(state);
+    }
+    if (now < waitsUntil)
+        return { false, true, {}, {} };
+    state.deniedAt = now;
+    return this->refuse(state);
+}
+
+void UsageLimiter::refund(std::string_view tenantName, SteadyTime refundableUntil)
+{
+    if (this->clock.now() < refundableUntil)
+        this->addTokens(tenantKey(tenantName), 1, refundableUntil);
+}
+
+std::vector<UsageNeed> UsageLimiter::collectNeeds()
+{
+    const SteadyTime now = this->clock.now();
+    std::vector<UsageNeed> needs;
+    for (auto& [tenant, state] : this->states) {
+        this->removeOutdated(state);
+        const auto tokens = static_cast<double>(tokenCount(state));
+        const auto waiting = static_cast<double>(state.waiting.size());
+        const double demand = state.demand.perSecond(now);
+        const double needed = std::max(0.0, waiting - tokens);
+        // Whole tokens only: for less than one request within the time, a token would usually expire unused.
+        const double wanted = std::floor(demand * prefetchSeconds);
+        const double prefetch = std::max(0.0, waiting + wanted - tokens - needed);
+        if (needed + prefetch > 0)
+            needs.push_back({ tenant, toCount(needed), toCount(prefetch), toCount(demand * 100) });
+    }
+    return needs;
+}
+
+void UsageLimiter::addTokens(TenantKey tenant, size_t count, SteadyTime validUntil)
+{
+    const SteadyTime now = this->clock.now();
+    if (count == 0 || validUntil <= now)
+        return;
+    TenantState& state = this->states[tenant];
+    state.granted.add(static_cast<double>(count), now);
+    const auto position = std::upper_bound(state.tokens.begin(), state.tokens.end(), validUntil,
+        [](SteadyTime time, const Tokens& tokens) { return time < tokens.validUntil; });
+    state.tokens.insert(position, { count, validUntil });
+}
+
+void UsageLimiter::removeExpired()
+{
+    const SteadyTime now = this->clock.now();
+    std::erase_if(
+        this->states, [now](const auto& entry) { return now - entry.second.lastRequestAt > stateValidity; });
+}
+
+}
