--- a/src/edge/include/wagtailrack/edge/EdgeNode.h
+++ b/src/edge/include/wagtailrack/edge/EdgeNode.h
@@ -9,6 +9,8 @@
 #include <wagtailrack/edge/MetadataStore.h>
 #include <wagtailrack/edge/QuarantineExchange.h>
 #include <wagtailrack/edge/RequestForwarder.h>
+#include <wagtailrack/edge/UsageExchange.h>
+#include <wagtailrack/edge/UsageTopology.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -64,6 +66,9 @@
     Status openAddresses();
     Status openDatagramSocket();
     void sendHeartbeats();
+    void sendUsageDatagrams();
+    // Tells the usage exchange of the tenants in force.
+    void updateUsageLimits();
     void sendDatagram(uint32_t target, const std::string& bytes);
     asio::awaitable<void> runHeartbeatLoop();
     asio::awaitable<void> receiveDatagrams();
@@ -89,6 +94,12 @@
     CrashQuarantine crashQuarantine;
     ShiftLimiter shiftLimiter;
     LoadExchange loadExchange;
+    MembershipUsageTopology usageTopology;
+    UsageLimiter usageLimiter;
+    UsageExchange usageExchange;
+    // The configuration and bounds that the usage exchange has.
+    RoutingTablePointer usageLimitsTable;
+    FleetBounds usageLimitsBounds;
     // Messages of callers and servers, and responses of peers: neither can take the memory of the other.
     TransferBudget requestBudget;
     TransferBudget peerBudget;
@@ -104,7 +115,7 @@
     CallerListener lookupListener;
     CallerListener readinessListener;
     CallerListener peerListener;
-    // Carries heartbeats and messages of the load exchange and of the quarantine exchange.
+    // Carries heartbeats and messages of the load, quarantine and usage exchanges.
     asio::ip::udp::socket datagramSocket;
     asio::signal_set signalSet;
     bool isDraining = false;
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -12,6 +12,7 @@
 #include <wagtailrack/edge/InstanceMembership.h>
 #include <wagtailrack/edge/Placement.h>
 #include <wagtailrack/edge/RetryTokenBucket.h>
+#include <wagtailrack/edge/UsageLimiter.h>
 
 #include <wagtailrack/process/Metrics.h>
 
@@ -35,6 +36,7 @@
     HttpConnectionPool& serverConnections;
     CrashDetector& crashDetector;
     CrashQuarantine& crashQuarantine;
+    UsageLimiter& usageLimiter;
     process::Metrics& metrics;
     EventLog& log;
 };
@@ -71,6 +73,10 @@
         std::string tenantName;
         // The tenant's priority if it has one, otherwise that of the route.
         int64_t priority = 0;
+        // Decision on the usage limit of the tenant, which the request is counted for even if its key is withdrawn
+        // later.
+        std::string limitedTenantName;
+        UsageDecision usage;
         std::string requestId;
         RequestFingerprint fingerprint = 0;
         std::string affinityKey;
@@ -121,6 +127,13 @@
     void finishAfterFailure(ForwardingState& state, const char* reason);
     NextStep retryOrFinish(ForwardingState& state);
     bool prepareRequest(ForwardingState& state);
+    // Counts the request for the usage limit of its tenant. Responds to the caller and returns false if it is refused.
+    bool admitUsage(ForwardingState& state);
+    // Waits for the decision on the usage limit if it is pending; as admitUsage().
+    asio::awaitable<bool> awaitUsageDecision(ForwardingState& state);
+    bool applyUsageDecision(ForwardingState& state, const Tenant& tenant);
+    // Returns the request to its tenant's usage limit if no server has executed it.
+    void refundUsage(const ForwardingState& state);
     // Finds the route and the tenant of the request in `state.routingTable`. Responds to the caller and returns false
     // if the request must not be forwarded.
     bool resolveRoute(ForwardingState& state);
--- a/src/edge/include/wagtailrack/edge/UsageExchange.h
+++ b/src/edge/include/wagtailrack/edge/UsageExchange.h
@@ -16,12 +16,12 @@
 namespace wagtailrack::edge {
 
 // Brings the tokens of tenants with a usage limit to the instances that have requests for them. Each instance asks one
-// instance of its failure domain, its hub, for the tokens that it needs now; hubs borrow from hubs of other domains what
-// they lack. Messages name only tenants that need tokens.
+// instance of its failure domain, its hub, for the tokens that it needs now; hubs borrow from hubs of other domains
+// what they lack. Messages name only tenants that need tokens.
 //
-// An instance whose hub does not answer asks the next candidate, and in the end itself, where it has its own part of the
-// domain's share. It is counted for the new hub only after the old one has stopped counting it. Lives as long as the
-// process; must be used from one thread only; does no input or output.
+// An instance whose hub does not answer asks the next candidate, and in the end itself, where it has its own part of
+// the domain's share. It is counted for the new hub only after the old one has stopped counting it. Lives as long as
+// the process; must be used from one thread only; does no input or output.
 class UsageExchange {
 public:
     struct Datagram {
@@ -30,8 +30,7 @@
         std::string bytes;
     };
 
-    UsageExchange(
-        const Clock& clock, UsageLimiter& limiter, const UsageTopology& topology, const FleetBounds& bounds);
+    UsageExchange(const Clock& clock, UsageLimiter& limiter, const UsageTopology& topology, const FleetBounds& bounds);
 
     // Sets the tenants of the configuration in force. Must be called again when it or the bounds change.
     void setTenants(const std::deque<Tenant>& tenants);
--- a/src/edge/include/wagtailrack/edge/UsageHub.h
+++ b/src/edge/include/wagtailrack/edge/UsageHub.h
@@ -30,18 +30,18 @@
 // because a domain with less would never have a whole token. Depends only on the arguments.
 std::vector<size_t> usageDomains(std::string_view tenantName, const UsageBucketSize& size, size_t domainCount);
 
-// Holds a failure domain's share of the tenants' usage limits as token buckets, grants tokens to the domain's instances,
-// and lends tokens to hubs of other domains that lack them. The settings, not the instances seen, say which
-// domains there are and so which part of a limit each one has (see usageDomains()). Of that part, a hub has the part of the domain's instances that report to it, so that two
-// hubs of one domain divide the share among themselves.
+// Holds a failure domain's share of the tenants' usage limits as token buckets, grants tokens to the domain's
+// instances, and lends tokens to hubs of other domains that lack them. The settings, not the instances seen, say which
+// domains there are and so which part of a limit each one has (see usageDomains()). Of that part, a hub has the part of
+// the domain's instances that report to it, so that two hubs of one domain divide the share among themselves.
 //
 // The total over all instances is within the limit in any window, whatever messages are lost or late: a token leaves a
 // bucket once, is used once, and expires `loanValidity` + `grantValidity` later at the latest, by the clock of the
 // process that asked for it. Lives as long as the process; must be used from one thread only; does no input or output.
 class UsageHub {
 public:
-    // Validity of tokens for an instance and of tokens borrowed by a hub, from the time of the request for them. A hub of
-    // another region answers within about 120 ms, one of the own domain within some ms. Short, because the limit is
+    // Validity of tokens for an instance and of tokens borrowed by a hub, from the time of the request for them. A hub
+    // of another region answers within about 120 ms, one of the own domain within some ms. Short, because the limit is
     // lowered by what may be used in this time.
     static constexpr Milliseconds grantValidity { 300 };
     static constexpr Milliseconds loanValidity { 350 };
@@ -51,7 +51,8 @@
 
     // Sets the buckets of the whole domain, which may be of size 0. Those of tenants that are new begin empty.
     void setBuckets(const std::map<TenantKey, UsageBucketSize>& sizes);
-    // Adds the tokens due since the last call; `fraction` is the part of the domain's instances that report to this hub.
+    // Adds the tokens due since the last call; `fraction` is the part of the domain's instances that report to this
+    // hub.
     void refill(double fraction);
     // Forgets borrowed tokens and what instances need, after a pause of the process.
     void forgetInstances();
--- a/src/edge/include/wagtailrack/edge/UsageLimiter.h
+++ b/src/edge/include/wagtailrack/edge/UsageLimiter.h
@@ -6,8 +6,10 @@
 
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace wagtailrack::edge {
@@ -27,10 +29,13 @@
 
 struct UsageDecision {
     bool isAllowed = false;
-    // No token is left here, but one may arrive within UsageLimiter::maximumWait: ask again with continueWaiting().
+    // No token is left here, but one may arrive until `waitsUntil`: ask again with continueWaiting().
     bool isPending = false;
+    SteadyTime waitsUntil;
     // When a token is expected, if the request is refused.
     SteadyTime retryAt;
+    // Whether no request of the tenant has been refused for some seconds.
+    bool isFirstRefusal = false;
     // Until when refund() may return the token of an allowed request.
     SteadyTime refundableUntil;
 };
@@ -43,17 +48,20 @@
 public:
     // Longest time that a request waits for a token. A hub that has none left gets some from another region within a
     // round trip of 110 ms and one or two request intervals.
-    static constexpr Milliseconds maximumWait { 300 };
+    static constexpr Milliseconds maximumWait { 400 };
 
     explicit UsageLimiter(const Clock& clock);
 
     // Takes one token. A request for which the decision is pending has to be asked for again until it is decided.
     UsageDecision admit(const Tenant& tenant);
-    UsageDecision continueWaiting(const Tenant& tenant, SteadyTime waitingSince);
+    UsageDecision continueWaiting(const Tenant& tenant, SteadyTime waitsUntil);
     // Returns the token of a request that did not run; ignored after `refundableUntil`, when the limit may have been
     // given out again.
     void refund(std::string_view tenantName, SteadyTime refundableUntil);
 
+    // Called when a request begins to wait.
+    void setDemandHook(std::function<void()> hook) { this->demandHook = std::move(hook); }
+
     // What this instance can use now, for the tenants of which it can use anything.
     std::vector<UsageNeed> collectNeeds();
     void addTokens(TenantKey tenant, size_t count, SteadyTime validUntil);
@@ -76,15 +84,17 @@
         SteadyTime lastRequestAt;
         // Latest time at which a request waited in vain.
         SteadyTime deniedAt;
+        SteadyTime refusedAt;
     };
 
     void removeOutdated(TenantState& state) const;
     static size_t tokenCount(const TenantState& state) noexcept;
     static UsageDecision takeToken(TenantState& state);
     size_t maximumWaiting(const TenantState& state) const;
-    UsageDecision refuse(const TenantState& state) const;
+    UsageDecision refuse(TenantState& state) const;
 
     const Clock& clock;
+    std::function<void()> demandHook = [] {};
     std::map<TenantKey, TenantState> states;
 };
 
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -139,6 +139,9 @@
     , crashQuarantine(this->clock)
     , shiftLimiter(this->clock)
     , loadExchange(this->clock, this->settings, this->fleet, this->shiftLimiter, this->membership)
+    , usageTopology(this->settings, this->membership, this->loadExchange)
+    , usageLimiter(this->clock)
+    , usageExchange(this->clock, this->usageLimiter, this->usageTopology, this->settings.bounds)
     , requestBudget(transferLimitsFor(this->settings.memoryBytes, this->settings.linkMegabitsPerSecond * 1e6))
     , peerBudget(internalTransferLimitsFor(this->settings.memoryBytes))
     , serverConnections(context, serverIdleTimeout, serverTcpUserTimeoutMs, this->requestBudget)
@@ -148,7 +151,7 @@
           this->peerConnections, this->metrics, this->log)
     , forwarder({ context, this->clock, this->settings, this->headers, this->clusterState, this->fleet,
           this->shiftLimiter, this->membership, this->serverConnections, this->crashDetector, this->crashQuarantine,
-          this->metrics, this->log })
+          this->usageLimiter, this->metrics, this->log })
     , localHandler(std::make_unique<LocalHandler>(*this))
     , callerListener(context, this->forwarder, this->requestBudget)
     , lookupListener(context, *this->localHandler, this->localRequestBudget)
@@ -231,6 +234,7 @@
                 { "servers_age_ms", this->clusterState.serverRecordsAgeMs() } });
     });
     this->installCrashHooks();
+    this->usageLimiter.setDemandHook([this] { this->sendUsageDatagrams(); });
     const SteadyTime giveUpAt = this->clock.now() + maximumAddressWait;
     Status opened = this->openAddresses();
     if (!opened)
@@ -328,6 +332,8 @@
     this->metrics.setGauge(
         "wagtailrack_messages_refused_for_size", "", static_cast<double>(this->requestBudget.refusedMessageCount()));
     this->metrics.setGauge("wagtailrack_log_lines_dropped", "", static_cast<double>(this->log.droppedLineCount()));
+    this->metrics.setGauge(
+        "wagtailrack_usage_datagram_bytes", "", static_cast<double>(this->usageExchange.sentBytes()));
     this->metrics.setGauge(
         "wagtailrack_quarantined_requests", "", static_cast<double>(this->crashQuarantine.quarantinedCount()));
     return this->metrics.render();
@@ -426,6 +432,22 @@
     this->datagramSocket.send_to(asio::buffer(bytes), endpoint, 0, ignored);
 }
 
+void EdgeNode::updateUsageLimits()
+{
+    const RoutingTablePointer table = this->clusterState.routingTable();
+    if (!table || (table == this->usageLimitsTable && this->usageLimitsBounds == this->settings.bounds))
+        return;
+    this->usageLimitsTable = table;
+    this->usageLimitsBounds = this->settings.bounds;
+    this->usageExchange.setTenants(table->tenantDirectory().all());
+}
+
+void EdgeNode::sendUsageDatagrams()
+{
+    for (const UsageExchange::Datagram& datagram : this->usageExchange.collectDueDatagrams())
+        this->sendDatagram(datagram.target, datagram.bytes);
+}
+
 asio::awaitable<void> EdgeNode::runLoadExchangeLoop()
 {
     Timer timer(this->context);
@@ -434,6 +456,8 @@
             this->sendDatagram(datagram.target, datagram.bytes);
         for (const QuarantineExchange::Datagram& datagram : this->quarantineExchange.collectDueDatagrams())
             this->sendDatagram(datagram.target, datagram.bytes);
+        this->updateUsageLimits();
+        this->sendUsageDatagrams();
         timer.expires_after(Milliseconds(loadExchangeCheckIntervalMs));
         error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -462,7 +486,11 @@
         if (failure)
             continue;
         const std::string_view bytes(buffer.data(), size);
-        if (!this->membership.receive(bytes) && !this->loadExchange.receive(sender.address().to_v4().to_uint(), bytes)
+        const uint32_t senderAddress = sender.address().to_v4().to_uint();
+        if (this->usageExchange.receive(senderAddress, bytes)) {
+            // Requests that wait for an answer should not wait for the next round as well.
+            this->sendUsageDatagrams();
+        } else if (!this->membership.receive(bytes) && !this->loadExchange.receive(senderAddress, bytes)
             && !this->quarantineExchange.receive(bytes))
             this->log.write(LogCategory::Request, "datagram-refused", { { "sender", sender.address().to_string() } });
     }
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -58,6 +58,7 @@
 constexpr size_t maximumLoggedHostBytes = 253;
 constexpr size_t maximumLoggedPrefixBytes = 64;
 
+constexpr const char* usageLimitOutcome = "usage-limit";
 constexpr const char* noRouteOutcome = "no-route";
 constexpr const char* noConfigurationOutcome = "no-configuration";
 constexpr const char* configurationOutdatedOutcome = "configuration-outdated";
@@ -312,6 +313,59 @@
     return this->resolveTenant(state);
 }
 
+bool RequestForwarder::admitUsage(ForwardingState& state)
+{
+    const Tenant* tenant = state.tenantName.empty() ? nullptr : state.routingTable->findTenantByName(state.tenantName);
+    if (!tenant || tenant->requestsPerSecond <= 0)
+        return true;
+    state.limitedTenantName = tenant->name;
+    state.usage = this->dependencies.usageLimiter.admit(*tenant);
+    return this->applyUsageDecision(state, *tenant);
+}
+
+asio::awaitable<bool> RequestForwarder::awaitUsageDecision(ForwardingState& state)
+{
+    if (!state.usage.isPending)
+        co_return true;
+    const RoutingTablePointer table = state.routingTable;
+    const Tenant& tenant = *table->findTenantByName(state.limitedTenantName);
+    const SteadyTime waitingSince = this->dependencies.clock.now();
+    while (state.usage.isPending) {
+        co_await this->pause(waitCheckInterval);
+        state.usage = this->dependencies.usageLimiter.continueWaiting(tenant, state.usage.waitsUntil);
+    }
+    this->dependencies.metrics.observeSeconds(
+        "wagtailrack_usage_wait_seconds", "", millisecondsSince(waitingSince, this->dependencies.clock.now()) / 1000);
+    co_return this->applyUsageDecision(state, tenant);
+}
+
+bool RequestForwarder::applyUsageDecision(ForwardingState& state, const Tenant& tenant)
+{
+    const UsageDecision& usage = state.usage;
+    if (usage.isAllowed || usage.isPending)
+        return true;
+    // Unlike other refusals, told as it is: a caller that comes back earlier is refused again.
+    const double seconds = std::max(0.0, millisecondsSince(this->dependencies.clock.now(), usage.retryAt) / 1000);
+    state.exchange->response
+        = makeResponse(http::status::too_many_requests, std::string(usageLimitOutcome) + "\n", seconds);
+    state.outcome = usageLimitOutcome;
+    this->dependencies.metrics.count("wagtailrack_usage_refused_total", "tenant=\"" + tenant.name + "\"");
+    if (usage.isFirstRefusal)
+        this->dependencies.log.write(LogCategory::ProcessState, "usage-limit-reached",
+            { { "tenant", tenant.name }, { "rate_per_s", static_cast<int64_t>(tenant.requestsPerSecond) },
+                { "burst", static_cast<int64_t>(tenant.burst) },
+                { "retry_ms", static_cast<int64_t>(seconds * 1000) } });
+    return false;
+}
+
+void RequestForwarder::refundUsage(const ForwardingState& state)
+{
+    const bool isPromisedNotRun
+        = !state.isServerResponse && state.exchange->response.result() == http::status::service_unavailable;
+    if (state.usage.isAllowed && !state.isPossiblyExecuted && (isPromisedNotRun || state.sendCount == 0))
+        this->dependencies.usageLimiter.refund(state.limitedTenantName, state.usage.refundableUntil);
+}
+
 bool RequestForwarder::prepareRequest(ForwardingState& state)
 {
     const HttpRequest& request = state.exchange->request;
@@ -331,7 +385,7 @@
         this->reject(state, noConfigurationOutcome, unconfiguredRetryAfterSeconds);
         return false;
     }
-    if (!this->resolveRoute(state))
+    if (!this->resolveRoute(state) || !this->admitUsage(state))
         return false;
     const RouteRule& rule = state.rule;
     state.affinityKey = rule.hasAffinity ? cookieValue(request.base(), headers.affinityCookie) : std::string();
@@ -362,8 +416,10 @@
     const InFlightCount inFlight(this->inFlightRequests);
     ForwardingState state;
     state.exchange = exchange;
-    if (this->prepareRequest(state))
+    if (this->prepareRequest(state) && co_await this->awaitUsageDecision(state)) {
         co_await this->forwardRequest(state);
+        this->refundUsage(state);
+    }
     this->recordCompletion(state);
 }
 
--- a/src/edge/src/UsageExchange.cpp
+++ b/src/edge/src/UsageExchange.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // Interval of requests for tokens, and of requests without needs, which keep the instance's share with its hub.
-constexpr Milliseconds requestInterval(50);
+constexpr Milliseconds requestInterval(30);
 constexpr Milliseconds reportInterval(250);
 constexpr Milliseconds topologyUpdateInterval(250);
 // A hub that leaves a request unanswered for the first time span is not chosen for the second.
@@ -203,8 +203,8 @@
     if (ranked.empty())
         return;
     std::sort(ranked.begin(), ranked.end());
-    const size_t count = std::clamp<size_t>(
-        need.neededTokens / tokensPerLender, 1, std::min<size_t>(ranked.size(), maximumLenders));
+    const size_t count
+        = std::clamp<size_t>(need.neededTokens / tokensPerLender, 1, std::min<size_t>(ranked.size(), maximumLenders));
     const auto tokens = static_cast<uint32_t>((need.neededTokens + count - 1) / count);
     for (size_t index = 0; index < count; ++index)
         needsByDomain[ranked[index].second].push_back({ need.tenant, tokens, 0, 0 });
--- a/src/edge/src/UsageHub.cpp
+++ b/src/edge/src/UsageHub.cpp
@@ -33,7 +33,7 @@
 constexpr Milliseconds loanResponseTime(150);
 // Depth of the bucket of a domain that has a part of a limit. Fewer than three requests at a time in a domain would
 // often have to borrow.
-constexpr double minimumDomainDepth = 3;
+constexpr double minimumDomainDepth = 5;
 constexpr double demandUnitsPerRequest = 100;
 
 double seconds(Milliseconds duration) { return std::chrono::duration<double>(duration).count(); }
@@ -137,9 +137,8 @@
 void UsageHub::refill(double fraction)
 {
     const SteadyTime now = this->clock.now();
-    const double elapsed = now - this->refilledAt > longestRefill
-        ? 0
-        : std::chrono::duration<double>(now - this->refilledAt).count();
+    const double elapsed
+        = now - this->refilledAt > longestRefill ? 0 : std::chrono::duration<double>(now - this->refilledAt).count();
     this->refilledAt = now;
     // For the time that has passed, a part that was not held throughout does not count.
     const double refillFraction = std::min(fraction, this->currentFraction);
@@ -214,8 +213,7 @@
         this->removeOutdated(state);
         const double excess
             = std::max(0.0, demand(state) - state.size.tokensPerSecond * this->currentFraction) * loanSeconds;
-        const int64_t available
-            = static_cast<int64_t>(state.tokens) + total(state.loans) + total(state.expectedLoans);
+        const int64_t available = static_cast<int64_t>(state.tokens) + total(state.loans) + total(state.expectedLoans);
         const int64_t wanted = unmetNeed(state) + static_cast<int64_t>(excess) - available;
         if (wanted <= 0)
             continue;
--- a/src/edge/src/UsageLimiter.cpp
+++ b/src/edge/src/UsageLimiter.cpp
@@ -19,6 +19,8 @@
 constexpr size_t maximumWaitingUndenied = 64;
 // A tenant without requests for this long has no state. Ten times the time over which its demand is averaged.
 constexpr Milliseconds stateValidity(5000);
+// A refusal after this long without one begins a new report to the operator.
+constexpr Milliseconds refusalReportInterval(10'000);
 // Bounds of the time after which a refused request is told to come back. A token for a tenant without grants is
 // expected after the lower one at the earliest, and the limit has been given out anew after the upper one.
 constexpr double minimumRetrySeconds = 0.1;
@@ -71,7 +73,10 @@
     const SteadyTime validUntil = oldest.validUntil;
     if (--oldest.count == 0)
         state.tokens.pop_front();
-    return { true, false, {}, validUntil };
+    UsageDecision decision;
+    decision.isAllowed = true;
+    decision.refundableUntil = validUntil;
+    return decision;
 }
 
 size_t UsageLimiter::maximumWaiting(const TenantState& state) const
@@ -84,20 +89,25 @@
     return std::clamp<size_t>(static_cast<size_t>(expected), 1, maximumWaitingUndenied);
 }
 
-UsageDecision UsageLimiter::refuse(const TenantState& state) const
+UsageDecision UsageLimiter::refuse(TenantState& state) const
 {
     const SteadyTime now = this->clock.now();
     const double grantedPerSecond = std::max(state.granted.perSecond(now), 1 / maximumRetrySeconds);
     const double wait = std::clamp(
         static_cast<double>(state.waiting.size() + 1) / grantedPerSecond, minimumRetrySeconds, maximumRetrySeconds);
-    return { false, false, now + std::chrono::duration_cast<SteadyTime::duration>(std::chrono::duration<double>(wait)),
-        {} };
+    UsageDecision decision;
+    decision.retryAt = now + std::chrono::duration_cast<SteadyTime::duration>(std::chrono::duration<double>(wait));
+    decision.isFirstRefusal = now - state.refusedAt > refusalReportInterval;
+    state.refusedAt = now;
+    return decision;
 }
 
 UsageDecision UsageLimiter::admit(const Tenant& tenant)
 {
-    if (tenant.requestsPerSecond <= 0)
-        return { true, false, {}, {} };
+    UsageDecision decision;
+    decision.isAllowed = tenant.requestsPerSecond <= 0;
+    if (decision.isAllowed)
+        return decision;
     const SteadyTime now = this->clock.now();
     TenantState& state = this->states[tenantKey(tenant.name)];
     this->removeOutdated(state);
@@ -108,16 +118,18 @@
         return takeToken(state);
     if (state.waiting.size() >= this->maximumWaiting(state))
         return this->refuse(state);
-    state.waiting.push_back(now + maximumWait);
-    return { false, true, {}, {} };
+    const SteadyTime waitsUntil = now + maximumWait;
+    state.waiting.push_back(waitsUntil);
+    // An instance that is its own hub has the token at once.
+    this->demandHook();
+    return this->continueWaiting(tenant, waitsUntil);
 }
 
-UsageDecision UsageLimiter::continueWaiting(const Tenant& tenant, SteadyTime waitingSince)
+UsageDecision UsageLimiter::continueWaiting(const Tenant& tenant, SteadyTime waitsUntil)
 {
     const SteadyTime now = this->clock.now();
     TenantState& state = this->states[tenantKey(tenant.name)];
     this->removeOutdated(state);
-    const SteadyTime waitsUntil = waitingSince + maximumWait;
     const auto entry = std::find(state.waiting.begin(), state.waiting.end(), waitsUntil);
     // The requests that wait longest get the tokens.
     const auto position = static_cast<size_t>(entry - state.waiting.begin());
@@ -125,8 +137,12 @@
         state.waiting.erase(entry);
         return takeToken(state);
     }
-    if (now < waitsUntil)
-        return { false, true, {}, {} };
+    if (now < waitsUntil) {
+        UsageDecision decision;
+        decision.isPending = true;
+        decision.waitsUntil = waitsUntil;
+        return decision;
+    }
     state.deniedAt = now;
     return this->refuse(state);
 }
@@ -171,8 +187,7 @@
 void UsageLimiter::removeExpired()
 {
     const SteadyTime now = this->clock.now();
-    std::erase_if(
-        this->states, [now](const auto& entry) { return now - entry.second.lastRequestAt > stateValidity; });
+    std::erase_if(this->states, [now](const auto& entry) { return now - entry.second.lastRequestAt > stateValidity; });
 }
 
 }
