Large responses of download routes are streamed to the caller (ResponseRelay)

Cause: a response was read whole before the caller was sent a byte, so that a download held its whole size in memory and began late, and bodies above 64 kB were paced to a quarter of the link.

Change: on routes with large responses, the rest of a sealed success above 64 kB is passed on as it arrives, in the order of the caller's connection. What slow callers have not read is bounded by the TransferBudget; the server is made to wait for about a second in sum, and the response ends incomplete when the memory is used up. Ruled out: message::chunked(false) on the head, which erases the Content-Length.

--- a/src/edge/include/wagtailrack/edge/CallerSession.h
+++ b/src/edge/include/wagtailrack/edge/CallerSession.h
@@ -2,6 +2,7 @@
 
 #include <wagtailrack/edge/Http.h>
 #include <wagtailrack/edge/ReceiveBuffer.h>
+#include <wagtailrack/edge/ResponseRelay.h>
 #include <wagtailrack/edge/RoutingTable.h>
 
 #include <boost/asio/io_context.hpp>
@@ -26,6 +27,11 @@
     bool isResponseReady = false;
     bool isHandlerStarted = false;
     bool hasCallerDisconnected = false;
+    // Set by the handler when it passes on a large response while that arrives. The body of `response` is not used
+    // then, and the handler runs until the relay has delivered the response or failed.
+    ResponseRelayPointer relay;
+    // Called by the handler after it has set `relay`; set by the session.
+    std::function<void()> onRelayBegun;
     // Called when the caller disconnects while the handler is running; set by the handler.
     std::function<void()> onCallerDisconnected;
 };
@@ -92,6 +98,10 @@
     // Receives and drops what follows the last request, until the caller closes the connection.
     asio::awaitable<void> discardInput();
     asio::awaitable<void> writeResponses();
+    // Writes a response as it arrives. Returns false if it or the connection has ended early.
+    asio::awaitable<bool> writeRelay(ResponseRelayPointer relay, unsigned version, bool shouldKeepAlive);
+    // Closes the connection in the middle of a response.
+    void abortResponse(bool endsWithConnection);
     // Whether another request may be read: not after the last one of the connection, and not behind others while the
     // handler closes connections.
     bool canReadRequest() const;
--- a/src/edge/include/wagtailrack/edge/Http.h
+++ b/src/edge/include/wagtailrack/edge/Http.h
@@ -70,4 +70,8 @@
 // probes stay unacknowledged for about `userTimeoutMs`.
 void setTcpOptions(Tcp::socket& socket, int userTimeoutMs);
 
+// Bounds the bytes that a socket holds and has not sent yet, for large responses to slow callers. The default is
+// several megabytes.
+void limitUnsentBytes(Tcp::socket& socket);
+
 }
--- a/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
+++ b/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
@@ -2,6 +2,7 @@
 
 #include <wagtailrack/edge/Http.h>
 #include <wagtailrack/edge/ReceiveBuffer.h>
+#include <wagtailrack/edge/ResponseRelay.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -98,6 +99,10 @@
     ReservationPointer requestMemory;
     // Called when the head of a response has arrived.
     std::function<void()> onResponseHead;
+    // If not null, successful responses that it accepts and that are larger than ResponseRelay::firstPartBytes are
+    // passed to it, and the body of `response` stays empty. The call ends when the whole response has arrived; the
+    // deadline is not moved before the relay begins and does not apply after that.
+    ResponseRelayPointer relay;
 
     // Results.
     HttpResponse response;
@@ -153,6 +158,7 @@
     void keepPreconnected(const Endpoint& server, SteadyTime until);
     // Closes expired and stale idle connections, and opens those requested by keepPreconnected().
     void maintain(SteadyTime now);
+    TransferBudget& transferBudget() const noexcept { return this->budget; }
     uint64_t openedConnectionCount() const noexcept { return this->connectionsOpened; }
     // Requests that have been answered and are still being sent.
     size_t unfinishedRequestCount() const noexcept { return this->unfinishedRequests; }
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -100,6 +100,8 @@
         std::string lastCallOutcome;
         // Whether the response is one of a server, not one that this instance made.
         bool isServerResponse = false;
+        // The response, if it is passed on while it arrives.
+        ResponseRelayPointer relay;
         // Set when the request ends; label of the metrics and field of the event log.
         const char* outcome = "";
     };
@@ -114,6 +116,12 @@
     SendDecision checkQuarantine(ForwardingState& state);
     asio::awaitable<void> pause(Milliseconds duration);
     asio::awaitable<NextStep> attemptSend(ForwardingState& state, PlacementChoice choice);
+    // Makes the call pass a large response on while it arrives.
+    void prepareRelay(ForwardingState& state, const std::shared_ptr<Call>& call);
+    // Waits until the caller has the whole response, which has arrived.
+    asio::awaitable<void> finishRelay(ForwardingState& state);
+    // Ends a request whose caller has been sent a part of the response.
+    void endBrokenRelay(ForwardingState& state, BackendServer& server, CallOutcome outcome);
     NextStep handleResponse(
         ForwardingState& state, BackendServer& server, const PlacementChoice& choice, Call& call, double durationMs);
     // Ends a request for which no attempt succeeded: with a server's error response if there is one, with
--- a/src/edge/include/wagtailrack/edge/TransferBudget.h
+++ b/src/edge/include/wagtailrack/edge/TransferBudget.h
@@ -19,6 +19,8 @@
     double bytesPerSecond = 0;
     // Bytes of all messages that are held at the same time, and of receive buffers.
     size_t heldBytes = std::numeric_limits<size_t>::max();
+    // Bytes per second that all streamed responses together are written with; 0 for no limit.
+    double streamBytesPerSecond = 0;
 
     friend bool operator==(const TransferLimits&, const TransferLimits&) = default;
 };
@@ -51,10 +53,13 @@
         uint64_t refusedMessages = 0;
         // When the bytes that were read so far would have arrived at the permitted rate.
         SteadyTime pacedUntil;
+        // When the pieces of streamed responses that have a turn have been written at the permitted rate.
+        SteadyTime streamPacedUntil;
     };
 
 public:
-    // More than the bodies of the deployments, which are at most 30 kB.
+    // More than most bodies of the deployments, which have at most 30 kB. The responses of routes with large responses
+    // have 90 to 540 kB; they are streamed (ResponseRelay) and not delayed by the limits for other large messages.
     static constexpr size_t unreservedBytes = 65'536;
 
     // Memory of one message body or receive buffer; released when it is destroyed.
@@ -68,6 +73,8 @@
         // Changes the size to `bytes`. Returns false, and keeps the former size, if one of the limits does not allow
         // it. A smaller size is always allowed.
         bool resize(size_t bytes) noexcept;
+        // Whether resize() would succeed.
+        bool canResize(size_t bytes) const noexcept;
         // Time to wait before more of the message is read, after `bytes` of it have been read. Not limited: with many
         // large messages, each one's turn comes late.
         Milliseconds delayAfterReading(size_t bytes, SteadyTime now) noexcept;
@@ -80,7 +87,7 @@
     };
 
     explicit TransferBudget(const TransferLimits& limits)
-        : usage(std::make_shared<Usage>(Usage { limits, 0, 0, 0, {} }))
+        : usage(std::make_shared<Usage>(Usage { limits, 0, 0, 0, {}, {} }))
     {
     }
 
@@ -91,6 +98,10 @@
     size_t heldBytes() const noexcept { return this->usage->heldBytes; }
     uint64_t refusedMessageCount() const noexcept { return this->usage->refusedMessages; }
 
+    // Returns when `bytes` of a streamed response may be written, which may be in the past. The responses that are
+    // streamed at the same time have turns in the order of these calls.
+    SteadyTime reserveStreamTurn(size_t bytes, SteadyTime now) noexcept;
+
 private:
     std::shared_ptr<Usage> usage;
 };
--- a/src/edge/include/wagtailrack/edge/readMessage.h
+++ b/src/edge/include/wagtailrack/edge/readMessage.h
@@ -3,9 +3,12 @@
 #include <wagtailrack/edge/ReceiveBuffer.h>
 
 #include <functional>
+#include <limits>
 
 namespace wagtailrack::edge {
 
+inline constexpr size_t noBodyBound = std::numeric_limits<size_t>::max();
+
 // Reads the header of a message into `parser` and returns its size in bytes. Sets `failure` as
 // ReceiveBuffer::readSome() does.
 template <bool isRequest>
@@ -21,14 +24,16 @@
 // Reads the rest of a message whose header has been read into `parser`. Its body counts towards the budget of `memory`
 // and is read at the rate that the budget permits, with pauses until `deadline` at the latest. `onProgress`, if not
 // null, is called with the number of bytes of each part. Sets `failure` as ReceiveBuffer::readSome() does; it is
-// http::error::buffer_overflow when the budget refuses the body.
+// http::error::buffer_overflow when the budget refuses the body. Returns early when more than `bodyBound` bytes of an
+// unfinished body have arrived.
 template <bool isRequest>
 asio::awaitable<void> readBody(Tcp::socket& socket, ReceiveBuffer& buffer,
     http::parser<isRequest, http::string_body>& parser, TransferBudget::Reservation& memory, SteadyTime deadline,
-    boost::system::error_code& failure, const std::function<void(size_t)>* onProgress = nullptr)
+    boost::system::error_code& failure, const std::function<void(size_t)>* onProgress = nullptr,
+    size_t bodyBound = noBodyBound)
 {
     parser.eager(true);
-    while (!parser.is_done()) {
+    while (!parser.is_done() && parser.get().body().size() <= bodyBound) {
         const size_t size = co_await buffer.readSome(socket, parser, failure);
         if (failure || parser.is_done())
             co_return;
--- a/src/edge/src/CallerSession.cpp
+++ b/src/edge/src/CallerSession.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -116,6 +117,10 @@
     this->isOpen = false;
     error_code ignored;
     this->socket.close(ignored);
+    for (const ExchangePointer& exchange : this->pendingExchanges) {
+        if (exchange->relay)
+            exchange->relay->fail(RelayFailure::CallerLeft);
+    }
     this->readTimer.cancel();
     this->notifyStateChanged();
 }
@@ -278,6 +283,10 @@
 
 void CallerSession::startHandler(const ExchangePointer& exchange)
 {
+    exchange->onRelayBegun = [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->notifyStateChanged();
+    };
     // Set here: the task itself begins to run later only.
     exchange->isHandlerStarted = true;
     asio::co_spawn(
@@ -294,38 +303,83 @@
         // The caller learns nothing about whether the request was executed, because nothing is known.
         exchange->response = makeResponse(
             http::status::internal_server_error, std::string("internal error: ") + exception.what() + "\n");
+        if (exchange->relay && !exchange->relay->hasStarted())
+            exchange->relay.reset();
+        else if (exchange->relay)
+            exchange->relay->fail(RelayFailure::ServerBroke);
     }
     exchange->onCallerDisconnected = nullptr;
     exchange->isResponseReady = true;
     this->notifyStateChanged();
 }
 
+void CallerSession::abortResponse(bool endsWithConnection)
+{
+    // The end of the connection would be the end of the response.
+    error_code ignored;
+    if (endsWithConnection)
+        this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->handleCallerDisconnect();
+}
+
+asio::awaitable<bool> CallerSession::writeRelay(ResponseRelayPointer relay, unsigned version, bool shouldKeepAlive)
+{
+    limitUnsentBytes(this->socket);
+    const bool endsWithConnection = relay->endsWithConnection(version);
+    relay->setFailureHook([weak = this->weak_from_this(), endsWithConnection] {
+        if (const auto self = weak.lock())
+            self->abortResponse(endsWithConnection);
+    });
+    relay->start(version, shouldKeepAlive);
+    while (true) {
+        const std::string piece = co_await relay->next();
+        if (piece.empty())
+            co_return this->isOpen && relay->failure() == RelayFailure::None;
+        error_code failure;
+        co_await asio::async_write(
+            this->socket, asio::buffer(piece), asio::redirect_error(asio::use_awaitable, failure));
+        if (failure) {
+            relay->fail(RelayFailure::CallerLeft);
+            this->handleCallerDisconnect();
+            co_return false;
+        }
+    }
+}
+
 asio::awaitable<void> CallerSession::writeResponses()
 {
     const auto self = this->shared_from_this();
     while (this->isOpen) {
         error_code failure;
-        if (this->pendingExchanges.empty() || !this->pendingExchanges.front()->isResponseReady) {
+        if (this->pendingExchanges.empty()
+            || (!this->pendingExchanges.front()->isResponseReady && !this->pendingExchanges.front()->relay)) {
             co_await this->stateChanged.async_wait(asio::redirect_error(asio::use_awaitable, failure));
             continue;
         }
         const ExchangePointer exchange = this->pendingExchanges.front();
         const bool isMalformed = exchange->request.target().empty();
+        const ResponseRelayPointer relay = exchange->relay;
         const bool shouldKeepAlive = !isMalformed && exchange->request.keep_alive()
+            && !(relay && relay->endsWithConnection(exchange->request.version()))
             && (!this->handler.shouldCloseConnections() || this->isLaterRequestStarted());
         if (!shouldKeepAlive)
             this->isLastRequestRead = true;
-        HttpResponse& response = exchange->response;
-        response.version(exchange->request.version() == 10 ? 10 : 11);
-        response.keep_alive(shouldKeepAlive);
-        if (exchange->request.method() == http::verb::head)
-            response.body().clear();
-        else
-            response.prepare_payload();
-        co_await http::async_write(this->socket, response, asio::redirect_error(asio::use_awaitable, failure));
-        if (failure) {
-            this->handleCallerDisconnect();
-            co_return;
+        if (relay) {
+            if (!co_await this->writeRelay(relay, exchange->request.version(), shouldKeepAlive))
+                co_return;
+        } else {
+            HttpResponse& response = exchange->response;
+            response.version(exchange->request.version() == 10 ? 10 : 11);
+            response.keep_alive(shouldKeepAlive);
+            if (exchange->request.method() == http::verb::head)
+                response.body().clear();
+            else
+                response.prepare_payload();
+            co_await http::async_write(this->socket, response, asio::redirect_error(asio::use_awaitable, failure));
+            if (failure) {
+                this->handleCallerDisconnect();
+                co_return;
+            }
         }
         this->pendingExchanges.pop_front();
         // A response may have been begun before the handler closes connections, and no request is read behind it.
--- a/src/edge/src/Http.cpp
+++ b/src/edge/src/Http.cpp
@@ -18,6 +18,8 @@
 // TCP keep-alive probes start after one second without traffic and are repeated every second.
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int maximumLostKeepAliveProbes = 2;
+// Two pieces of a streamed response: one is sent while the next one has its turn.
+constexpr int maximumUnsentBytes = 16'384;
 
 }
 
@@ -104,4 +106,11 @@
     set(IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMs);
 }
 
+void limitUnsentBytes(Tcp::socket& socket)
+{
+    // Where the system does not support it, the buffer of the socket is larger.
+    (void)::setsockopt(
+        socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &maximumUnsentBytes, sizeof maximumUnsentBytes);
+}
+
 }
--- a/src/edge/src/HttpConnectionPool.cpp
+++ b/src/edge/src/HttpConnectionPool.cpp
@@ -104,6 +104,8 @@
 void Call::cancel()
 {
     this->isCancelled = true;
+    if (this->relay)
+        this->relay->fail(RelayFailure::CallerLeft);
     if (this->connection)
         this->connection->close();
 }
@@ -163,7 +165,8 @@
     const ClientConnectionPointer connection = call->connection;
     call->responseMemory = std::make_shared<TransferBudget::Reservation>(this->budget);
     parser.header_limit(maximumResponseHeadBytes);
-    parser.body_limit(std::max(this->budget.limits().messageBytes, TransferBudget::unreservedBytes));
+    const uint64_t maximumWholeBytes = std::max(this->budget.limits().messageBytes, TransferBudget::unreservedBytes);
+    parser.body_limit(call->relay ? std::max(maximumWholeBytes, ResponseRelay::maximumBodyBytes) : maximumWholeBytes);
     error_code failure;
     co_await readHeader(connection->socket, connection->buffer, parser, failure);
     call->hasResponseStarted = call->hasResponseStarted || parser.got_some();
@@ -179,9 +182,15 @@
         call->deadline = std::max(call->deadline, extended);
         connection->armTimer(call->deadline);
     };
+    const bool canRelay = !failure && call->relay && parser.get().result_int() / 100 == 2
+        && isEchoAccepted(*call, parser.get()) && call->relay->accepts(parser.get());
     if (!failure)
         co_await readBody(connection->socket, connection->buffer, parser, *call->responseMemory, call->deadline,
-            failure, &moveDeadline);
+            failure, &moveDeadline, canRelay ? ResponseRelay::firstPartBytes : noBodyBound);
+    if (!failure && !parser.is_done()) {
+        call->responseMemory.reset();
+        co_await call->relay->receive(*connection, parser, failure);
+    }
     if (failure == http::error::header_limit || failure == http::error::body_limit
         || failure == http::error::buffer_overflow)
         co_return CallOutcome::TooLarge;
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -508,6 +508,7 @@
     const std::shared_ptr<Call> call = this->makeCall(state, *server);
     if (isIdempotent)
         state.exchange->onCallerDisconnected = [call] { call->cancel(); };
+    this->prepareRelay(state, call);
     state.isSendGranted = false;
     const SteadyTime sentAt = this->dependencies.clock.now();
     const Endpoint address = server->record.address;
@@ -519,14 +520,30 @@
     const CallOutcome outcome = co_await this->dependencies.serverConnections.execute(call, address);
     state.exchange->onCallerDisconnected = nullptr;
     state.lastCallOutcome = toString(outcome);
-    const double durationMs = millisecondsSince(sentAt, this->dependencies.clock.now());
+    const bool isRelayed = call->relay && call->relay->hasBegun();
+    // How long the rest of a large response takes depends on the links and on the caller.
+    const double durationMs
+        = millisecondsSince(sentAt, isRelayed ? call->relay->begunAt() : this->dependencies.clock.now());
     state.lastAttemptDurationMs = durationMs;
     this->recordRoundTrip(*server, *call);
+    if (isRelayed && outcome != CallOutcome::Answered) {
+        if (outcome != CallOutcome::Cancelled && (call->relay->hasStarted() || outcome == CallOutcome::TooLarge)) {
+            this->endBrokenRelay(state, *server, outcome);
+            co_return NextStep::Finish;
+        }
+        if (outcome != CallOutcome::Cancelled)
+            state.exchange->relay.reset();
+        state.isServerResponse = false;
+    }
     switch (outcome) {
-    case CallOutcome::Answered:
+    case CallOutcome::Answered: {
         ++state.sendCount;
         this->dependencies.crashDetector.recordResponse(*server, sentAt);
-        co_return this->handleResponse(state, *server, choice, *call, durationMs);
+        const NextStep next = this->handleResponse(state, *server, choice, *call, durationMs);
+        if (isRelayed)
+            co_await this->finishRelay(state);
+        co_return next;
+    }
     case CallOutcome::ConnectFailed:
         state.isSendGranted = true;
         if (call->connectFailure == asio::error::connection_refused)
@@ -572,6 +589,62 @@
     co_return this->retryOrFinish(state);
 }
 
+void RequestForwarder::prepareRelay(ForwardingState& state, const std::shared_ptr<Call>& call)
+{
+    if (!state.rule.hasLargeResponses)
+        return;
+    const auto canRelay = [this](const HttpResponse& head) {
+        const EdgeHeaderNames& headers = this->dependencies.headers;
+        return !headerValue(head.base(), headers.responseSeal).empty()
+            && headerValue(head.base(), headers.notExecuted).empty();
+    };
+    // The call owns the relay; the state lives until the call has ended.
+    const auto begin = [&state, weakCall = std::weak_ptr<Call>(call)](const HttpResponse& head) {
+        state.relay = weakCall.lock()->relay;
+        state.isServerResponse = true;
+        state.exchange->response.base() = head.base();
+        state.exchange->relay = state.relay;
+        if (state.exchange->onRelayBegun)
+            state.exchange->onRelayBegun();
+    };
+    call->relay = std::make_shared<ResponseRelay>(
+        this->dependencies.context, this->dependencies.serverConnections.transferBudget(), canRelay, begin);
+}
+
+asio::awaitable<void> RequestForwarder::finishRelay(ForwardingState& state)
+{
+    const ResponseRelayPointer relay = state.relay;
+    state.exchange->onCallerDisconnected = [relay] { relay->fail(RelayFailure::CallerLeft); };
+    if (state.exchange->hasCallerDisconnected)
+        relay->fail(RelayFailure::CallerLeft);
+    relay->finish();
+    co_await relay->waitUntilDelivered();
+    state.exchange->onCallerDisconnected = nullptr;
+    if (relay->failure() != RelayFailure::None)
+        state.outcome = toString(relay->failure());
+}
+
+void RequestForwarder::endBrokenRelay(ForwardingState& state, BackendServer& server, CallOutcome outcome)
+{
+    ++state.sendCount;
+    // A relay that has failed before the call ended did so because of the caller.
+    const bool isCallersFault = outcome == CallOutcome::TooLarge || state.relay->failure() != RelayFailure::None;
+    const RelayFailure reason = outcome == CallOutcome::TooLarge ? RelayFailure::CallerTooSlow
+        : outcome == CallOutcome::TimedOut                       ? RelayFailure::ServerStalled
+                                                                 : RelayFailure::ServerBroke;
+    this->dependencies.fleet.endAttempt(
+        server, isCallersFault ? AttemptOutcome::Answered : AttemptOutcome::BrokenResponse);
+    const bool hasStarted = state.relay->hasStarted();
+    state.relay->fail(reason);
+    state.outcome = toString(state.relay->failure());
+    if (hasStarted)
+        return;
+    // Responses before this one on its connection have not been read. The server has executed the request.
+    state.exchange->relay.reset();
+    state.isServerResponse = false;
+    this->respondWithError(state, http::status::bad_gateway, state.outcome);
+}
+
 void RequestForwarder::finishAfterFailure(ForwardingState& state, const char* reason)
 {
     if (state.fallbackResponse)
@@ -736,6 +809,12 @@
         { "status", static_cast<uint64_t>(response.result_int()) }, { "sealed", isSealed ? 1 : 0 },
         { "ms", static_cast<int64_t>(seconds * 1000) }, { "left_ms", static_cast<int64_t>(this->remainingMs(state)) },
         { "outcome", state.outcome } };
+    if (state.relay) {
+        const uint64_t bytes = state.relay->deliveredBytes();
+        this->dependencies.metrics.count("wagtailrack_streamed_responses_total", labels);
+        this->dependencies.metrics.count("wagtailrack_streamed_bytes_total", "", static_cast<double>(bytes));
+        fields.emplace_back("streamed_bytes", bytes);
+    }
     if (std::string_view(state.outcome) == noRouteOutcome) {
         const HttpRequest& request = state.exchange->request;
         fields.emplace_back("host", hostOf(request.base()));
