DownloadLatency: small responses beside 200 downloads; the first part of a streamed response is not paced

Change: a response that can be streamed is not paced while it is read; streams have their own rate when they are written.

--- a/src/edge/include/wagtailrack/edge/readMessage.h
+++ b/src/edge/include/wagtailrack/edge/readMessage.h
@@ -25,7 +25,7 @@
 // and is read at the rate that the budget permits, with pauses until `deadline` at the latest. `onProgress`, if not
 // null, is called with the number of bytes of each part. Sets `failure` as ReceiveBuffer::readSome() does; it is
 // http::error::buffer_overflow when the budget refuses the body. Returns early when more than `bodyBound` bytes of an
-// unfinished body have arrived.
+// unfinished body have arrived; such a first part is not paced.
 template <bool isRequest>
 asio::awaitable<void> readBody(Tcp::socket& socket, ReceiveBuffer& buffer,
     http::parser<isRequest, http::string_body>& parser, TransferBudget::Reservation& memory, SteadyTime deadline,
@@ -43,6 +43,8 @@
         }
         if (onProgress)
             (*onProgress)(size);
+        if (bodyBound != noBodyBound)
+            continue;
         const SteadyTime now = BootTimeClock::now();
         const Milliseconds delay = memory.delayAfterReading(size, now);
         if (delay <= Milliseconds(0))
--- a/src/edge/src/HttpConnectionPool.cpp
+++ b/src/edge/src/HttpConnectionPool.cpp
@@ -187,7 +187,7 @@
     if (!failure)
         co_await readBody(connection->socket, connection->buffer, parser, *call->responseMemory, call->deadline,
             failure, &moveDeadline, canRelay ? ResponseRelay::firstPartBytes : noBodyBound);
-    if (!failure && !parser.is_done()) {
+    if (!failure && !parser.is_done() && !connection->hasTimedOut() && !call->isCancelled) {
         call->responseMemory.reset();
         co_await call->relay->receive(*connection, parser, failure);
     }
--- a/src/edge/tests/TransferBudgetTest.cpp
+++ b/src/edge/tests/TransferBudgetTest.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <vector>
 
 using namespace wagtailrack;
@@ -67,3 +68,38 @@
     // Twenty megabits are 2.5 MB a second.
     CHECK_TRUE(readBytes < 2.5e6 * durationMs / 1000);
 }
+
+// Guards against downloads that are delayed beyond their deadline of 3 s by the limits for large messages: on a link of
+// 10 Mbit/s, fifteen responses of 90 kB and two of 540 kB that begin together are written within it, the usual ones
+// before the large ones, and within the bandwidth of the link.
+TEST(TransferBudget, streamedResponsesMeetTheirDeadlineOnASmallLink)
+{
+    constexpr size_t piece = 8192;
+    constexpr size_t usual = 90'000;
+    constexpr size_t large = 540'000;
+    TransferBudget budget(transferLimitsFor(160'000'000, 10e6));
+    const SteadyTime start(Milliseconds(1000));
+    std::vector<size_t> remaining(15, usual);
+    remaining.insert(remaining.end(), 2, large);
+    SteadyTime lastTurn = start;
+    SteadyTime usualEnd;
+    size_t written = 0;
+    while (*std::max_element(remaining.begin(), remaining.end()) > 0) {
+        // Each response asks for its next turn when the former piece has been written.
+        for (size_t index = 0; index < remaining.size(); ++index) {
+            if (remaining[index] == 0)
+                continue;
+            const size_t bytes = std::min(piece, remaining[index]);
+            lastTurn = std::max(lastTurn, budget.reserveStreamTurn(bytes, lastTurn));
+            remaining[index] -= bytes;
+            written += bytes;
+            if (index < 15)
+                usualEnd = lastTurn;
+        }
+        const std::chrono::duration<double> elapsed = lastTurn - start;
+        // The small part of the time that the streams may be ahead, and one round of pieces.
+        CHECK_TRUE(static_cast<double>(written) <= 1.25e6 * (elapsed.count() + 0.01) + 17 * piece);
+    }
+    CHECK_TRUE(usualEnd < start + Milliseconds(2000));
+    CHECK_TRUE(lastTurn < start + Milliseconds(3000));
+}
