OverloadAdmission: requests are admitted by utilisation, priority and tenant share

Cause: under overload, requests were sent until their response was expected to be late, whatever their priority, so that the servers' queues made almost all responses late. Routes with long targets filled the queues of urgent ones.

Change: from one request per slot of a region, the expected wait at the server is limited, more tightly for less urgent requests and for those of a tenant beyond its usual share. A kind that is sent less often than 0.35 of the mean gets the limit of urgent requests. Retry-After of such refusals is a quarter of the target latency instead of a quarter of the remaining time, so that a caller that returns can still be in time. Without overload the decision is that of shouldSend(). The refusal is on the request's log line, with metrics by priority.

--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -10,6 +10,7 @@
 #include <wagtailrack/edge/EventLog.h>
 #include <wagtailrack/edge/HttpConnectionPool.h>
 #include <wagtailrack/edge/InstanceMembership.h>
+#include <wagtailrack/edge/OverloadAdmission.h>
 #include <wagtailrack/edge/Placement.h>
 #include <wagtailrack/edge/RetryTokenBucket.h>
 
@@ -78,6 +79,11 @@
         SteadyTime deadline;
         // Whether the caller sends the request again, after it was rejected or failed.
         bool isReturning = false;
+        // Whether the request is beyond the usual share of its tenant, and whether it counts as sent there.
+        bool isBeyondTenantShare = false;
+        bool isCountedAsSent = false;
+        // Latest decision on whether the request is sent, and on how long it may wait at the server.
+        AdmissionDecision admission;
         std::set<const BackendServer*> excludedServers;
         // Whether the request may be sent although it is suspected of crashing servers; until it has been sent.
         bool isSendGranted = false;
@@ -112,6 +118,9 @@
     asio::awaitable<void> forwardRequest(ForwardingState& state);
     // Applies the quarantine to a request that is to be sent. Rejects it if the result is Refuse.
     SendDecision checkQuarantine(ForwardingState& state);
+    static AdmissionRequest admissionRequestOf(const ForwardingState& state);
+    // Returns whether the request is sent to the chosen server; refuses it otherwise.
+    bool admit(ForwardingState& state, const PlacementChoice& choice);
     asio::awaitable<void> pause(Milliseconds duration);
     asio::awaitable<NextStep> attemptSend(ForwardingState& state, PlacementChoice choice);
     NextStep handleResponse(
@@ -119,6 +128,8 @@
     // Ends a request for which no attempt succeeded: with a server's error response if there is one, with
     // "outcome-unknown" if a server may have executed the request, and otherwise with `reason` as not executed.
     void finishAfterFailure(ForwardingState& state, const char* reason);
+    // As above, with the Retry-After of a refused request.
+    void finishAfterFailure(ForwardingState& state, const char* reason, double retryAfterSeconds);
     NextStep retryOrFinish(ForwardingState& state);
     bool prepareRequest(ForwardingState& state);
     // Finds the route and the tenant of the request in `state.routingTable`. Responds to the caller and returns false
@@ -162,6 +173,7 @@
     // After a restart of a running system.
     SteadyTime warmCachesAssumedUntil;
     std::map<std::string, RetryTokenBucket> retryTokenBuckets;
+    OverloadAdmission overloadAdmission;
     std::map<std::string, ProcessingTimeEstimate> processingTimeByRoute;
     // Time that callers wait for their first try of a request, by route.
     std::map<std::string, double> fullCallerTimeoutMs;
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -92,6 +92,8 @@
     bool isObjectKnown = false;
     // Opportunity cost of executing a request for a cached object, by region.
     std::map<std::string_view, double> slotCosts;
+    // Requests per slot, by region.
+    std::map<std::string_view, double> utilisations;
 };
 
 uint64_t combineHashes(uint64_t left, uint64_t right)
@@ -202,9 +204,11 @@
     std::nth_element(latencyRatios.begin(), median, latencyRatios.end());
     statistics.medianLatencyRatio = std::max(*median, 1.0);
     for (const auto& [region, regionLoadAndSlots] : loadAndSlots) {
-        const double utilisation = regionLoadAndSlots.first / regionLoadAndSlots.second
-            + (region == ownRegion ? 0 : otherRegionReservedRatio);
-        const double costFraction = (utilisation - costFreeUtilisation) / (fullCostUtilisation - costFreeUtilisation);
+        const double utilisation = regionLoadAndSlots.first / regionLoadAndSlots.second;
+        statistics.utilisations[region] = utilisation;
+        const double costFraction
+            = (utilisation + (region == ownRegion ? 0 : otherRegionReservedRatio) - costFreeUtilisation)
+            / (fullCostUtilisation - costFreeUtilisation);
         statistics.slotCosts[region] = maximumSlotCost * std::clamp(costFraction, 0.0, 1.0);
     }
     return statistics;
@@ -377,6 +381,7 @@
     });
     for (Candidate& candidate : candidates) {
         BackendServer& server = *candidate.server;
+        candidate.choice.utilisation = statistics.utilisations.at(server.region);
         if (server.coldUntil <= now)
             return candidate.choice;
         // Only instances of the server's own region send to it during its cold start, so that the shares of all senders
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -39,6 +39,9 @@
 // fraction of the time in which a slot becomes free.
 constexpr double minimumRetryAfterSeconds = 0.05;
 constexpr double retryAfterRatio = 0.25;
+// Retry-After of requests that are refused because of load, as a fraction of the target latency: short enough that a
+// response after the caller's return can be in time.
+constexpr double overloadRetryAfterTargetRatio = 0.25;
 // Interval at which changes of the membership are read.
 constexpr Milliseconds instanceUpdateInterval(250);
 // A request with less than this fraction of the time that callers of its route usually wait was rejected or failed
@@ -344,6 +347,7 @@
     this->updateInstanceCounts();
     const FleetBounds& bounds = this->dependencies.settings.bounds;
     this->retryTokenBuckets[state.serviceName].recordRequest(bounds.retryRatio, this->retrySlackPerInstance());
+    state.isBeyondTenantShare = this->overloadAdmission.recordArrival(admissionRequestOf(state));
     return true;
 }
 
@@ -404,6 +408,36 @@
     return SendDecision::Wait;
 }
 
+AdmissionRequest RequestForwarder::admissionRequestOf(const ForwardingState& state)
+{
+    return { state.serviceName, state.rule.name, state.tenantName, state.priority, state.rule.targetLatencyMs,
+        state.isReturning };
+}
+
+bool RequestForwarder::admit(ForwardingState& state, const PlacementChoice& choice)
+{
+    const AdmissionRequest request = admissionRequestOf(state);
+    state.admission = this->overloadAdmission.decide(request, state.isBeyondTenantShare, choice);
+    const std::string labels = "priority=\"" + std::to_string(state.priority) + "\"";
+    if (state.admission.outcome == AdmissionOutcome::Send) {
+        if (!state.isCountedAsSent)
+            this->overloadAdmission.recordSend(request);
+        state.isCountedAsSent = true;
+        this->dependencies.metrics.count("wagtailrack_admitted_total", labels);
+        this->dependencies.metrics.observeSeconds(
+            "wagtailrack_expected_wait_seconds", labels, choice.expectedWaitMs / 1000);
+        return true;
+    }
+    const char* reason = toString(state.admission.outcome);
+    this->dependencies.metrics.count(
+        "wagtailrack_not_admitted_total", labels + ",reason=\"" + std::string(reason) + "\"");
+    const double targetSeconds = static_cast<double>(state.rule.targetLatencyMs) / 1000;
+    const double remainingSeconds = this->remainingMs(state) / 1000;
+    this->finishAfterFailure(
+        state, reason, std::min(overloadRetryAfterTargetRatio * targetSeconds, retryAfterRatio * remainingSeconds));
+    return false;
+}
+
 asio::awaitable<void> RequestForwarder::forwardRequest(ForwardingState& state)
 {
     while (true) {
@@ -448,10 +482,12 @@
         const std::optional<PlacementChoice> choice
             = chooseServer(this->dependencies.fleet, request, this->processingTimeOf(state.rule), now);
         state.lastChoice = choice;
-        if (!choice || !shouldSend(*choice, state.isReturning)) {
-            this->finishAfterFailure(state, choice ? "no-time" : "no-server");
+        if (!choice) {
+            this->finishAfterFailure(state, "no-server");
             co_return;
         }
+        if (!this->admit(state, *choice))
+            co_return;
         const NextStep next = co_await this->attemptSend(state, *choice);
         if (next == NextStep::Finish)
             co_return;
@@ -573,14 +609,18 @@
 }
 
 void RequestForwarder::finishAfterFailure(ForwardingState& state, const char* reason)
+{
+    this->finishAfterFailure(state, reason, retryAfterRatio * this->remainingMs(state) / 1000);
+}
+
+void RequestForwarder::finishAfterFailure(ForwardingState& state, const char* reason, double retryAfterSeconds)
 {
     if (state.fallbackResponse)
         this->forwardResponse(state, std::move(*state.fallbackResponse), "server-failure");
     else if (state.isPossiblyExecuted)
         this->respondWithError(state, http::status::bad_gateway, "outcome-unknown");
     else
-        this->reject(
-            state, reason, std::max(minimumRetryAfterSeconds, retryAfterRatio * this->remainingMs(state) / 1000));
+        this->reject(state, reason, std::max(minimumRetryAfterSeconds, retryAfterSeconds));
 }
 
 RequestForwarder::NextStep RequestForwarder::retryOrFinish(ForwardingState& state)
@@ -730,6 +770,10 @@
         { "connect_failures", state.connectFailureCount }, { "last_end", state.lastCallOutcome },
         { "warm", state.lastChoice && state.lastChoice->isObjectCached ? 1 : 0 },
         { "wait_ms", state.lastChoice ? static_cast<int64_t>(state.lastChoice->expectedWaitMs) : 0 },
+        { "priority", state.priority },
+        { "utilisation_percent", state.lastChoice ? static_cast<int64_t>(100 * state.lastChoice->utilisation) : 0 },
+        { "wait_limit_ms",
+            std::isfinite(state.admission.waitLimitMs) ? static_cast<int64_t>(state.admission.waitLimitMs) : -1 },
         { "work_ms", state.lastChoice ? static_cast<int64_t>(state.lastChoice->expectedProcessingMs) : 0 },
         { "took_ms", static_cast<int64_t>(state.lastAttemptDurationMs) },
         { "servers_age_ms", this->dependencies.clusterState.serverRecordsAgeMs() },
