--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -449,6 +449,8 @@
             = chooseServer(this->dependencies.fleet, request, this->processingTimeOf(state.rule), now);
         state.lastChoice = choice;
         if (!choice || !shouldSend(*choice, state.isReturning)) {
+            if (state.sendCount == 0)
+                this->dependencies.shiftLimiter.recordRefusal();
             this->finishAfterFailure(state, choice ? "no-time" : "no-server");
             co_return;
         }
