--- a/src/edge/include/wagtailrack/edge/Placement.h
+++ b/src/edge/include/wagtailrack/edge/Placement.h
@@ -97,9 +97,9 @@
 bool shouldSend(const PlacementChoice& choice, bool isReturning = false);
 
 // Chooses the server with the highest score. Rendezvous hashing gives each object its own order of servers, the same on
-// every instance; the first server of the object's region is its preferred server. That is the own region, unless it has less room than
-// its callers need (RegionShares). Returns nothing when no server
-// may be used or the deadline has passed. Takes a token if the chosen server is in its cold start.
+// every instance; the first server of the object's region is its preferred server. That is the own region, unless it
+// has less room than its callers need (RegionShares). Returns nothing when no server may be used or the deadline has
+// passed. Takes a token if the chosen server is in its cold start.
 std::optional<PlacementChoice> chooseServer(
     BackendFleet& fleet, const PlacementRequest& request, const ProcessingTimeEstimate& processingTime, SteadyTime now);
 
--- a/src/edge/include/wagtailrack/edge/RegionShares.h
+++ b/src/edge/include/wagtailrack/edge/RegionShares.h
@@ -36,8 +36,9 @@
     friend bool operator==(const RegionRoom&, const RegionRoom&) = default;
 };
 
-// Returns the share of each region, in the order of `rooms`: the own region is filled first, then the others, nearer ones
-// more. If no region has room, all are filled to the same higher utilisation. Empty if there are no slots or requests.
+// Returns the share of each region, in the order of `rooms`: the own region is filled first, then the others, nearer
+// ones more. If no region has room, all are filled to the same higher utilisation. Empty if there are no slots or
+// requests.
 std::vector<double> computeRegionShares(const std::vector<RegionRoom>& rooms);
 
 // Counts, for the status table of the hub, the requests that the instances of its region have in flight, by service and
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -139,16 +139,15 @@
         return request.ownRegion;
     const std::vector<RegionShare>& shares = request.regionShares->sharesOf(
         fleet, request.service.name, request.roundTripsMs, request.shiftLimiter.isStarting());
-    const size_t found = RegionShares::regionOf(objectHash, shares,
-        [&request](const std::string& region) { return isHomeRegion(request.rule, region); });
+    const size_t found = RegionShares::regionOf(
+        objectHash, shares, [&request](const std::string& region) { return isHomeRegion(request.rule, region); });
     return found == shares.size() ? request.ownRegion : shares[found].region;
 }
 
 // Returns the servers that may execute the request, in the object's rendezvous order. Servers that were recently
 // unreachable are left out unless all of them were.
-std::vector<Candidate> findCandidates(
-    const BackendFleet& fleet, const PlacementRequest& request, const std::string& objectRegion, uint64_t objectHash,
-    SteadyTime now)
+std::vector<Candidate> findCandidates(const BackendFleet& fleet, const PlacementRequest& request,
+    const std::string& objectRegion, uint64_t objectHash, SteadyTime now)
 {
     std::vector<Candidate> candidates;
     for (const BackendServerPointer& server : fleet.servers(request.service.name)) {
@@ -187,10 +186,9 @@
     }
     request.shiftLimiter.recordOwnRegionSlots(request.service.name, slots);
     if (hasOwnRegionCandidate && !request.shiftLimiter.canSendCrossRegion(request.service.name))
-        std::erase_if(candidates,
-            [&](const Candidate& candidate) {
-                return candidate.server->region != request.ownRegion && candidate.server->region != objectRegion;
-            });
+        std::erase_if(candidates, [&](const Candidate& candidate) {
+            return candidate.server->region != request.ownRegion && candidate.server->region != objectRegion;
+        });
 }
 
 bool hasRecentlyHandled(const BackendServer& server, uint64_t objectHash, SteadyTime now)
@@ -199,8 +197,8 @@
     return object != server.cachedObjects.end() && now - object->second < cachedObjectValidity;
 }
 
-ServiceStatistics computeServiceStatistics(
-    const std::vector<Candidate>& candidates, const std::string& ownRegion, uint64_t objectHash, SteadyTime now)
+ServiceStatistics computeServiceStatistics(const std::vector<Candidate>& candidates, const std::string& ownRegion,
+    const std::string& objectRegion, uint64_t objectHash, SteadyTime now)
 {
     ServiceStatistics statistics;
     std::vector<double> latencyRatios;
@@ -220,7 +218,7 @@
     statistics.medianLatencyRatio = std::max(*median, 1.0);
     for (const auto& [region, regionLoadAndSlots] : loadAndSlots) {
         const double utilisation = regionLoadAndSlots.first / regionLoadAndSlots.second
-            + (region == ownRegion ? 0 : otherRegionReservedRatio);
+            + (region == ownRegion || region == objectRegion ? 0 : otherRegionReservedRatio);
         const double costFraction = (utilisation - costFreeUtilisation) / (fullCostUtilisation - costFreeUtilisation);
         statistics.slotCosts[region] = maximumSlotCost * std::clamp(costFraction, 0.0, 1.0);
     }
@@ -238,7 +236,8 @@
 
 // Estimates the waiting and processing time on the candidate server and computes its score.
 PlacementChoice scoreCandidate(const Candidate& candidate, bool isPreferred, bool isInObjectRegion,
-    const ServiceStatistics& statistics, const PlacementRequest& request, const ProcessingTimeEstimate& processingTime, uint64_t objectHash, SteadyTime now)
+    const ServiceStatistics& statistics, const PlacementRequest& request, const ProcessingTimeEstimate& processingTime,
+    uint64_t objectHash, SteadyTime now)
 {
     const BackendServer& server = *candidate.server;
     PlacementChoice choice;
@@ -269,8 +268,11 @@
     const double successProbability = std::min(1.0, (1 - server.failureRate) / (1 - statistics.lowestFailureRate));
     choice.score
         = successProbability * (probabilityInTime + lateAnswerScore * (probabilityBeforeDeadline - probabilityInTime));
-    choice.score -= statistics.slotCosts.at(server.region) * choice.expectedProcessingMs
-        / std::max(processingTime.cachedMs, 1.0);
+    // The first execution of an object in its region is needed anyway, so that it counts like a later one.
+    const double occupiedMs = isPreferred && isInObjectRegion
+        ? std::min(choice.expectedProcessingMs, processingTime.cachedMs)
+        : choice.expectedProcessingMs;
+    choice.score -= statistics.slotCosts.at(server.region) * occupiedMs / std::max(processingTime.cachedMs, 1.0);
     choice.score -= penaltyPerMs * (choice.expectedWaitMs + choice.expectedProcessingMs);
     // The object's region was chosen with its distance in mind.
     if (!isInObjectRegion)
@@ -391,10 +393,12 @@
         first = firstInRegion(request.ownRegion);
     Candidate* preferred = first == candidates.end() ? &candidates.front() : &*first;
     const bool isObjectElsewhere = objectRegion != request.ownRegion;
-    const ServiceStatistics statistics = computeServiceStatistics(candidates, request.ownRegion, objectHash, now);
+    const ServiceStatistics statistics
+        = computeServiceStatistics(candidates, request.ownRegion, objectRegion, objectHash, now);
     for (Candidate& candidate : candidates)
-        candidate.choice
-            = scoreCandidate(candidate, &candidate == preferred, isObjectElsewhere && candidate.server->region == objectRegion, statistics, request, processingTime, objectHash, now);
+        candidate.choice = scoreCandidate(candidate, &candidate == preferred,
+            isObjectElsewhere && candidate.server->region == objectRegion, statistics, request, processingTime,
+            objectHash, now);
     if (shouldFillPreferredServer(*preferred, candidates, request.affinityKey, now))
         preferred->choice.score += underusedFillBonus;
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
--- a/src/edge/src/RegionShares.cpp
+++ b/src/edge/src/RegionShares.cpp
@@ -12,7 +12,7 @@
 
 // Utilisation (requests per slot) up to which the own region's callers use their region, and up to which they use other
 // regions. Requests of a server's own region have precedence by the difference.
-constexpr double ownRegionUtilisation = 0.85;
+constexpr double ownRegionUtilisation = 0.8;
 constexpr double otherRegionUtilisation = 0.7;
 // Utilisation beyond these that is shared out at most when no region has room.
 constexpr double maximumExtraUtilisation = 8;
@@ -25,12 +25,12 @@
 constexpr double comparedRoundTripOffsetMs = 20;
 
 constexpr Milliseconds updateInterval(100);
-// Changes of the demand that last shorter than this are followed only in part. The hub's figures are about half a second
-// old, and what moves shows its effect after the processing time: a shorter time makes the shares swing.
+// Changes of the demand that last shorter than this are followed only in part. The hub's figures are about half a
+// second old, and what moves shows its effect after the processing time: a shorter time makes the shares swing.
 constexpr double smoothingMs = 1500;
 // Part of the objects that moves in a second. The platform allows at most 0.15 of the requests to change their region
 // from one window of 2 s to the next; the rest of it is left to single requests that avoid a full server.
-constexpr double maximumMovePerSecond = 0.05;
+constexpr double maximumMovePerSecond = 0.035;
 constexpr double maximumStartingMovePerSecond = 1;
 // The hub sends the demand more often than the first time. Demand older than the second no longer tells anything, since
 // usual waves of demand take as long; objects then return to the own region at the rate below.
@@ -76,8 +76,7 @@
         for (size_t index = 0; index < rooms.size(); ++index) {
             if (weights[index] <= 0)
                 continue;
-            const double added
-                = std::min(toSpread * weights[index] / sum, roomOf(rooms[index], 0) - filled[index]);
+            const double added = std::min(toSpread * weights[index] / sum, roomOf(rooms[index], 0) - filled[index]);
             filled[index] += added;
             requests -= added;
         }
@@ -222,8 +221,8 @@
 {
     const SteadyTime now = this->clock.now();
     const bool isFirst = state.shares.empty();
-    const double elapsedMs = std::min(
-        isFirst ? 0 : std::chrono::duration<double, std::milli>(now - state.updatedAt).count(), smoothingMs);
+    const double elapsedMs
+        = std::min(isFirst ? 0 : std::chrono::duration<double, std::milli>(now - state.updatedAt).count(), smoothingMs);
     state.updatedAt = now;
 
     // Regions that disappeared keep their share until it has moved: their servers may only be unknown for a moment.
@@ -238,7 +237,8 @@
         const auto known = std::find_if(state.shares.begin(), state.shares.end(),
             [&](const RegionShare& share) { return share.region == rooms[index].region; });
         if (known == state.shares.end())
-            state.shares.push_back({ rooms[index].region, hash64(rooms[index].region), isFirst && index == 0 ? 1.0 : 0 });
+            state.shares.push_back(
+                { rooms[index].region, hash64(rooms[index].region), isFirst && index == 0 ? 1.0 : 0 });
         if (!target.empty())
             targets[rooms[index].region] = target[index];
     }
