--- a/src/edge/include/wagtailrack/edge/EdgeNode.h
+++ b/src/edge/include/wagtailrack/edge/EdgeNode.h
@@ -93,6 +93,7 @@
     CrashDetector crashDetector;
     CrashQuarantine crashQuarantine;
     ShiftLimiter shiftLimiter;
+    RegionShares regionShares;
     LoadExchange loadExchange;
     MembershipUsageTopology usageTopology;
     UsageLimiter usageLimiter;
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -138,7 +138,8 @@
     , crashDetector(this->clock)
     , crashQuarantine(this->clock)
     , shiftLimiter(this->clock)
-    , loadExchange(this->clock, this->settings, this->fleet, this->shiftLimiter, this->membership)
+    , regionShares(this->clock, this->settings.region)
+    , loadExchange(this->clock, this->settings, this->fleet, this->shiftLimiter, this->membership, &this->regionShares)
     , usageTopology(this->settings, this->membership, this->loadExchange)
     , usageLimiter(this->clock)
     , usageExchange(this->clock, this->usageLimiter, this->usageTopology, this->settings.bounds)
@@ -150,8 +151,8 @@
     , clusterState(context, this->clock, this->settings, store, codec, this->fleet, this->membership,
           this->peerConnections, this->metrics, this->log)
     , forwarder({ context, this->clock, this->settings, this->headers, this->clusterState, this->fleet,
-          this->shiftLimiter, this->membership, this->serverConnections, this->crashDetector, this->crashQuarantine,
-          this->usageLimiter, this->metrics, this->log })
+          this->shiftLimiter, this->regionShares, this->membership, this->serverConnections, this->crashDetector,
+          this->crashQuarantine, this->usageLimiter, this->metrics, this->log })
     , localHandler(std::make_unique<LocalHandler>(*this))
     , callerListener(context, this->forwarder, this->requestBudget)
     , lookupListener(context, *this->localHandler, this->localRequestBudget)
@@ -183,6 +184,11 @@
             { { "request", toString(entry.request) }, { "crashes", static_cast<uint64_t>(entry.crashes) },
                 { "source", toString(source) } });
     });
+    this->regionShares.setChangeHook([this](const RegionShares::Change& change) {
+        this->log.write(LogCategory::ProcessState, "region-shares",
+            { { "service", change.service }, { "own_percent", std::lround(100 * change.ownShare) },
+                { "needed_slots", std::lround(change.demand) }, { "own_slots", std::lround(change.ownSlots) } });
+    });
 }
 
 Status EdgeNode::openDatagramSocket()
@@ -336,6 +342,10 @@
         "wagtailrack_usage_datagram_bytes", "", static_cast<double>(this->usageExchange.sentBytes()));
     this->metrics.setGauge(
         "wagtailrack_quarantined_requests", "", static_cast<double>(this->crashQuarantine.quarantinedCount()));
+    this->regionShares.forEachShare([this](const std::string& service, const RegionShare& share) {
+        this->metrics.setGauge("wagtailrack_region_share_ratio",
+            "service=\"" + service + "\",region=\"" + share.region + "\"", share.share);
+    });
     return this->metrics.render();
 }
 
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -533,17 +533,22 @@
                     && this->dependencies.serverConnections.hasIdleConnection(server.record.address);
             },
             state.exchange->arrivedAt, state.deadline, this->dependencies.shiftLimiter, this->coldServerSenders,
-            state.excludedServers, this->isPreferredServerWarm() };
+            state.excludedServers, this->isPreferredServerWarm(), &this->dependencies.regionShares };
         const SteadyTime now = this->dependencies.clock.now();
         const std::optional<PlacementChoice> choice
             = chooseServer(this->dependencies.fleet, request, this->processingTimeOf(state.rule), now);
         state.lastChoice = choice;
         if (!choice) {
+            if (state.sendCount == 0)
+                this->dependencies.shiftLimiter.recordRefusal();
             this->finishAfterFailure(state, "no-server");
             co_return;
         }
-        if (!this->admit(state, *choice))
+        if (!this->admit(state, *choice)) {
+            if (state.sendCount == 0)
+                this->dependencies.shiftLimiter.recordRefusal();
             co_return;
+        }
         const NextStep next = co_await this->attemptSend(state, *choice);
         if (next == NextStep::Finish)
             co_return;
