--- a/src/edge/include/wagtailrack/edge/UsageLimiter.h
+++ b/src/edge/include/wagtailrack/edge/UsageLimiter.h
@@ -46,9 +46,10 @@
 // process; must be used from one thread only.
 class UsageLimiter {
 public:
-    // Longest time that a request waits for a token. A hub that has none left gets some from another region within a
-    // round trip of 110 ms and one or two request intervals.
-    static constexpr Milliseconds maximumWait { 400 };
+    // Longest time that a request waits for a token. A hub that has none left gets one from another region within a
+    // round trip of 110 ms and a request interval or two; if the first hub asked has none either, a second one is
+    // asked.
+    static constexpr Milliseconds maximumWait { 500 };
 
     explicit UsageLimiter(const Clock& clock);
 
--- a/src/edge/src/UsageHub.cpp
+++ b/src/edge/src/UsageHub.cpp
@@ -14,7 +14,7 @@
 // few, because most are granted to requests that wait. The rest of the bound is the buckets' depth.
 constexpr double rateMargin = 1.05;
 // Part of the bound's slack that increases the rate: for small tenants a few tokens that expire are much of the limit.
-constexpr double slackForRate = 0.25;
+constexpr double slackForRate = 0.5;
 // Smallest depth, as a time at the limit. Below it, requests of one interval between messages would empty a bucket.
 constexpr double minimumDepthSeconds = 0.3;
 // Tokens of the bound that are not given out, for rounding.
--- a/src/edge/tests/UsageExchangeTest.cpp
+++ b/src/edge/tests/UsageExchangeTest.cpp
@@ -59,13 +59,14 @@
         CHECK_TEXT(static_cast<double>(fleet.mostInWindow) <= fleet.bound(), describeSeed(this->seed).c_str());
     }
 
-    void checkUnevenDemand(const Fleet& size, double limit, double part = 1)
+    void checkUnevenDemand(const Fleet& size, double limit)
     {
         UsageFleet fleet(size.instances, size.domains, size.regions, limited(limit), this->seed);
         const std::vector<double> weights = unevenWeights(size.instances, this->seed);
-        fleet.run(startMs, limit * part, weights);
+        fleet.run(startMs, limit, weights);
         fleet.resetCounts();
-        fleet.run(12'000, limit * part, weights);
+        fleet.run(12'000, limit, weights);
+        fleet.finishWaiting();
         this->checkBound(fleet);
         CHECK_TEXT(fleet.servedShareOfLimit() >= 0.95, describeSeed(this->seed).c_str());
     }
@@ -83,6 +84,7 @@
         }
         fleet.resetCounts();
         fleet.run(2000, limit, regionWeights(fleet, 1, 0.95));
+        fleet.finishWaiting();
         this->checkBound(fleet);
         CHECK_TEXT(fleet.servedShareOfLimit() >= 0.85, describeSeed(this->seed).c_str());
     }
--- a/src/edge/tests/UsageSimulation.h
+++ b/src/edge/tests/UsageSimulation.h
@@ -124,6 +124,9 @@
         }
     }
 
+    // Lets the requests that wait be decided, without new ones.
+    void finishWaiting() { this->run(UsageLimiter::maximumWait.count(), 0, { 1 }); }
+
     double bound() const
     {
         return (this->tenant.requestsPerSecond * static_cast<double>(this->bounds.usageWindowMs) / 1000
