--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -281,7 +281,8 @@
         choice.score -= otherDomainPenalty;
     if (!choice.isObjectCached && !isPreferred)
         choice.score -= candidate.isTopRanked ? topRankedUncachedPenalty : lowRankedUncachedPenalty;
-    if (server.region != request.ownRegion && choice.isObjectCached && request.shiftLimiter.isReturningTooFast())
+    if (server.region != request.ownRegion && (choice.isObjectCached || (isPreferred && isInObjectRegion))
+        && request.shiftLimiter.isReturningTooFast())
         choice.score += returnLimitBonus;
     return choice;
 }
--- a/src/edge/src/RegionShares.cpp
+++ b/src/edge/src/RegionShares.cpp
@@ -30,7 +30,7 @@
 constexpr double smoothingMs = 1500;
 // Part of the objects that moves in a second. The platform allows at most 0.15 of the requests to change their region
 // from one window of 2 s to the next; the rest of it is left to single requests that avoid a full server.
-constexpr double maximumMovePerSecond = 0.035;
+constexpr double maximumMovePerSecond = 0.045;
 constexpr double maximumStartingMovePerSecond = 1;
 // The hub sends the demand more often than the first time. Demand older than the second no longer tells anything, since
 // usual waves of demand take as long; objects then return to the own region at the rate below.
