--- a/bench/src/Benchmark.h
+++ b/bench/src/Benchmark.h
@@ -20,6 +20,7 @@
 void runApiKeys();
 void runConfiguration();
 void runMembership();
+void runPlacement();
 
 // Seconds that `work` takes.
 template <typename Work> double secondsOf(Work work)
--- a/bench/src/main.cpp
+++ b/bench/src/main.cpp
@@ -15,6 +15,7 @@
     { "api-keys", "look-ups of API keys at different numbers of keys", &runApiKeys },
     { "configuration", "decoding and route look-ups at different numbers of routes; base64", &runConfiguration },
     { "membership", "gossip of instances: which of them are taken for alive, and its cost", &runMembership },
+    { "placement", "choice of a server among 102 for one request", &runPlacement },
 };
 
 int main(int argumentCount, char** arguments)
