--- a/src/edge/include/wagtailrack/edge/BackendFleet.h
+++ b/src/edge/include/wagtailrack/edge/BackendFleet.h
@@ -2,6 +2,7 @@
 
 #include <wagtailrack/base/Clock.h>
 #include <wagtailrack/base/Endpoint.h>
+#include <wagtailrack/edge/DepartedServers.h>
 #include <wagtailrack/edge/LoadMessages.h>
 #include <wagtailrack/version/Pool.h>
 
@@ -108,7 +109,15 @@
     // Applies a complete snapshot of the registry. Servers that are missing from it are removed at
     // `missingGraceUntil`, or at once if that time is not in the future.
     void applyRecords(const std::vector<ServerRecord>& records, SteadyTime missingGraceUntil);
-    // Removes missing servers whose grace period has expired.
+    // Keeps servers that have left out of use although records of an older copy of the store say that they are ready;
+    // those that may be running until `until`. See DepartedServers.
+    void holdDepartedServers(SteadyTime until);
+    // The same for the departures that a peer has seen.
+    void holdDepartedServers(const std::vector<DepartedServers::Departure>& departures, SteadyTime until);
+    std::vector<DepartedServers::Departure> heldDepartures() const;
+    // Servers that are listed, but kept out of use because they had left.
+    size_t heldServerCount() const noexcept { return this->heldRecords.size(); }
+    // Removes missing servers whose grace period has expired, and adds servers that were held.
     void removeExpiredServers();
     // Sets the failure domains whose servers must not get requests. When the evacuation of a domain ends, its servers
     // are treated as cold for `coldAfterMs`.
@@ -141,7 +150,12 @@
     bool tryTakeColdToken(BackendServer& server, double requestsPerSecond, int senderCount);
 
 private:
+    void applyRecord(const ServerRecord& record);
     void updateServer(BackendServer& server, const ServerRecord& record);
+    void recordDeparture(const BackendServer& server, bool isFinal);
+    void addDeparture(const DepartedServers::Departure& departure);
+    // Returns whether any server was added.
+    bool addReleasedServers();
     // Returns whether any server was removed.
     bool eraseExpiredServers();
     void rebuildIndexes();
@@ -150,6 +164,9 @@
     const Clock& clock;
     std::map<std::string, std::string> regionOfDomain;
     LeavingHook leavingHook;
+    DepartedServers departed;
+    // The newest records of the servers that are held.
+    std::vector<ServerRecord> heldRecords;
     std::map<std::string, BackendServerPointer> byId;
     std::map<std::string, std::vector<BackendServerPointer>> byService;
     std::map<ServerKey, BackendServerPointer> byKey;
--- a/src/edge/include/wagtailrack/edge/ClusterStateCache.h
+++ b/src/edge/include/wagtailrack/edge/ClusterStateCache.h
@@ -8,13 +8,16 @@
 #include <wagtailrack/edge/InstanceMembership.h>
 #include <wagtailrack/edge/MetadataStore.h>
 #include <wagtailrack/edge/ServerRecordTable.h>
+#include <wagtailrack/edge/StoreRecovery.h>
 
 #include <wagtailrack/process/Metrics.h>
 
 #include <json/value.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -24,9 +27,11 @@
 // Header that numbers the calls of an instance to its peers. A peer repeats it in the response, so that a late copy of
 // an earlier response is not taken for the next one.
 inline constexpr const char* peerCallHeader = "Wagtailrack-Peer-Call";
-// Headers of the response to `/operator-items`: the revision of the store up to which the items are current, and the
-// time since they were known to be, in milliseconds. The body depends on neither and is encoded once for many peers.
+// Headers of the response to `/operator-items`: the revision of the store up to which the items are current, its era,
+// and the time since they were known to be, in milliseconds. Earlier releases send no era. The body depends on neither
+// and is encoded once for many peers.
 inline constexpr const char* operatorItemsRevisionHeader = "Wagtailrack-Operator-Items-Revision";
+inline constexpr const char* operatorItemsEraHeader = "Wagtailrack-Operator-Items-Era";
 inline constexpr const char* operatorItemsAgeHeader = "Wagtailrack-Operator-Items-Age-Ms";
 
 // This instance's copy of the cluster state: the configuration, the evacuations and the records of the backend servers.
@@ -36,6 +41,10 @@
 // that a network partition between some instances and the store cuts no instance off from updates. A copy is never
 // replaced by one of a lower store revision, nor a configuration by one of a lower version. Lives for the process; used
 // only on the event loop's thread.
+//
+// When the store returns from an older copy, its era rises and the copies here begin anew. What the older copy lacks
+// stays in force until it is written again: the configuration until a newer version comes, evacuations and departures
+// of servers for the time of StoreRecovery.
 class ClusterStateCache {
 public:
     ClusterStateCache(asio::io_context& context, const Clock& clock, const EdgeSettings& settings, MetadataStore& store,
@@ -46,13 +55,17 @@
     // Revokes the lease of this instance's record, which removes the record from the store.
     asio::awaitable<void> unregister();
 
-    // Null until a first configuration has been accepted.
-    RoutingTablePointer routingTable() const noexcept { return this->activeRoutingTable; }
+    // Null until a first configuration has been accepted, and for a short time after the start, in which peers may tell
+    // of a newer version than the store has.
+    RoutingTablePointer routingTable() const
+    {
+        return this->isStartConfirmed || !this->isAwaitingPeerState() ? this->activeRoutingTable : nullptr;
+    }
     // Time since the server records were read from the store, by this instance or by the peer that passed them on.
     int64_t serverRecordsAgeMs() const;
     int64_t configurationAgeMs() const { return this->operatorItemsAgeMs(); }
-    // Revision of the store up to which the operator items are current; -1 if none is known.
-    int64_t configurationRevision() const noexcept { return this->operatorItemsRevision; }
+    // Revision of the store up to which the operator items are current; StoreRevision::none() if none is known.
+    StoreRevision configurationRevision() const noexcept { return this->operatorItemsRevision; }
     // Whether a newer version than routingTable() may be in force: a peer has one, or neither the store nor a peer has
     // confirmed the copy for some time. A route that is missing from the table may exist then.
     bool isConfigurationOutdated() const;
@@ -61,20 +74,34 @@
     bool isRefreshingAfterPause() const;
     // Whether this instance reads the store for the other instances of its region.
     bool isRegionStoreReader() const;
-    bool isReady() const noexcept { return this->activeRoutingTable != nullptr && this->hasServerRecords; }
+    bool isReady() const { return this->routingTable() != nullptr && this->hasServerRecords; }
+    // The era of the newest copy.
+    int64_t storeEra() const
+    {
+        return std::max(this->operatorItemsRevision.era(), this->serverRecords.revision().era());
+    }
+    bool isStoreRecovering() const { return this->recovery.isActive(); }
 
     // What a peer knows already: sent with its requests.
     struct PeerCopy {
         uint64_t operatorItemsHash = 0;
-        // Negative if the peer did not tell it.
-        int64_t operatorItemsRevision = 0;
+        // StoreRevision::none() if the peer did not tell it.
+        StoreRevision operatorItemsRevision = StoreRevision::none();
         ServerRecordVersion serverRecords;
+        // The version that the peer acts on; missing if it does not tell it, as instances of earlier releases.
+        std::optional<uint64_t> configurationVersion;
+        // The newest era whose recovery the peer knows.
+        int64_t recoveryEra = 0;
+        // Address of the peer; empty if it does not tell it.
+        std::string address;
     };
+    // Fetches the operator items of a peer that acts on a newer configuration than this instance.
+    void notePeerCopy(const PeerCopy& copy);
     // The state as JSON, for a peer. Leaves out the operator items if the peer's copy has the same hash or if the
     // changed items are large, and the server records that have not changed since the peer's copy.
     std::string encodeStateForPeer(const PeerCopy& copy) const;
     // The operator items that have changed since a revision as JSON, compressed. Empty if none is known.
-    std::string encodeOperatorItemsForPeer(int64_t peerOperatorItemsRevision);
+    std::string encodeOperatorItemsForPeer(const PeerCopy& copy);
 
 private:
     asio::awaitable<void> syncOperatorItems();
@@ -92,7 +119,7 @@
     asio::awaitable<bool> fetchStateFromPeer(std::string address);
     // Revision of the store and time of the read up to which a peer's copy is current.
     struct Currency {
-        int64_t revision = 0;
+        StoreRevision revision;
         SteadyTime readAt;
     };
     void startOperatorItemsFetch(const std::string& address);
@@ -100,12 +127,34 @@
     // The response; its body is empty unless the peer answered with status 200 within `maximumTime`.
     asio::awaitable<HttpResponse> callPeer(std::string address, std::string target, Milliseconds maximumTime);
     bool applyOperatorItemsFromPeer(const Json::Value& section, Currency currency, const std::string& address);
-    Json::Value changedOperatorItems(int64_t sinceRevision) const;
+    // Whether the peer's copy may lack the item in its present form.
+    bool isChangedFor(const PeerCopy& copy, const StoreItem& item) const;
+    Json::Value changedOperatorItems(const PeerCopy& copy) const;
+    Json::Value encodeRecovery() const;
+    void joinRecovery(const Json::Value& section, const std::string& address);
     void describeOperatorItems(Json::Value& section, const Json::Value& changedItems) const;
     asio::awaitable<void> sleep(int64_t milliseconds);
 
     void applyOperatorItems(
-        std::map<std::string, StoreItem> items, int64_t revision, SteadyTime readAt, const char* source);
+        std::map<std::string, StoreItem> items, StoreRevision revision, SteadyTime readAt, const char* source);
+    // Called when a copy is replaced by one of a higher era.
+    void enterEra(StoreRevision previous, StoreRevision revision, const char* source);
+    // Replaces configurations of an older copy of the store in `items` by the newer ones of an earlier era.
+    void applyConfigurations(std::map<std::string, StoreItem>& items, StoreRevision revision, const char* source);
+    // Activates the configuration of an item if its version is newer. Returns whether the version is older than the
+    // active one, or the item is invalid.
+    bool activateConfiguration(const StoreItem& item, const char* source);
+    // Takes a newer configuration over from the items of a peer whose copy is not newer than this one.
+    void adoptConfiguration(const std::map<std::string, StoreItem>& items);
+    void retainEvacuations(const std::map<std::string, StoreItem>& items);
+    void applyEvacuations(const char* source);
+    void endRecovery();
+    uint64_t activeVersion() const { return this->activeRoutingTable ? this->activeRoutingTable->version() : 0; }
+    // Whether a version that a peer acts on is newer than the active one and not known to be invalid here. Always false
+    // with a store that tells no era: versions then reach all instances through the store's revisions.
+    bool isNewerConfiguration(uint64_t version) const;
+    bool isAwaitingPeerState() const;
+    void recordFailedListing(const char* call, const Error& error);
     void applyServerRecords(ServerRecordUpdate update, SteadyTime readAt, const char* source);
     void recordStoreCall(bool isReachable, const char* call, const std::string& detail);
     void countStoreCall(const char* call, bool isDone);
@@ -132,13 +181,18 @@
     RoutingTablePointer activeRoutingTable;
     std::map<std::string, StoreItem> operatorItems;
     uint64_t operatorItemsHash = 0;
-    int64_t operatorItemsRevision = -1;
+    StoreRevision operatorItemsRevision = StoreRevision::none();
     SteadyTime operatorItemsReadAt;
     // A watch is pending at the store, which would report a change: the operator items are up to date.
     bool isWatching = false;
     // When the store began to answer a watch: until the copy is confirmed later than this, it may lack a change.
     SteadyTime watchAnsweredAt;
-    int64_t refusedConfigurationRevision = -1;
+    StoreRevision refusedConfigurationRevision = StoreRevision::none();
+    // A configuration of the store that is older than the active one, which is kept in its place.
+    StoreRevision ignoredConfigurationRevision = StoreRevision::none();
+    // The failure domains that get no requests, including those that the recovery retains.
+    std::set<std::string> evacuatedDomains;
+    StoreRecovery recovery;
     // The changes since the own copy could not be read from the store: the next read lists all operator items.
     bool needsOperatorListing = false;
     // The peers from which large operator items are being fetched. A further peer is asked only when a fetch is
@@ -154,7 +208,10 @@
     std::map<std::string, FetchPause> fetchPauses;
     SteadyTime nextFetchAt;
     // Highest revision of operator items that differ from the own copy, as peers reported them.
-    int64_t reportedOperatorItemsRevision = -1;
+    StoreRevision reportedOperatorItemsRevision = StoreRevision::none();
+    // Highest version of the configuration that a peer acts on, and the highest one that was refused here.
+    uint64_t reportedConfigurationVersion = 0;
+    uint64_t refusedPeerVersion = 0;
     // Set when the changes since the own revision did not lead to the peer's items: the next fetch asks for all items.
     bool needsAllOperatorItems = false;
     // The last response to peers and a hash of the items in it: the peers of a region ask for the same change.
@@ -175,7 +232,12 @@
     SteadyTime lastStoreResponseAt;
     size_t peerRoundRobinCounter = 0;
     uint64_t peerCallCounter = 0;
-    int64_t leaseId = 0;
+    StoreLease lease;
+    // Whether a peer has told its state, or there is none.
+    bool hasPeerState = false;
+    // Set for good when routingTable() need not wait for peers any more.
+    bool isStartConfirmed = false;
+    SteadyTime nextCrossCheckAt;
 };
 
 }
--- a/src/edge/include/wagtailrack/edge/QuarantineExchange.h
+++ b/src/edge/include/wagtailrack/edge/QuarantineExchange.h
@@ -49,7 +49,7 @@
         bool isCleared = false;
         SteadyTime beganAt;
         SteadyTime lastRequestAt;
-        int64_t revision = 0;
+        StoreRevision revision;
     };
 
     void applyListing(const StoreListing& listing);
--- a/src/edge/include/wagtailrack/edge/ServerRecordTable.h
+++ b/src/edge/include/wagtailrack/edge/ServerRecordTable.h
@@ -22,14 +22,14 @@
     std::vector<std::string> removed;
     bool isFullListing = true;
     // Revision of the store up to which the update is current.
-    int64_t revision = 0;
+    StoreRevision revision;
 
     friend bool operator==(const ServerRecordUpdate&, const ServerRecordUpdate&) = default;
 };
 
 // Identifies the content of a table, to a peer that may hold another one.
 struct ServerRecordVersion {
-    int64_t revision = -1;
+    StoreRevision revision = StoreRevision::none();
     // Missing if the peer does not tell it, as instances of earlier releases.
     std::optional<uint64_t> hash;
 
@@ -55,8 +55,8 @@
     // What leads from a peer's copy to this table: a full listing unless the copy equals a recent version of it.
     ServerRecordUpdate updateFor(const ServerRecordVersion& copy) const;
 
-    // -1 until the first update.
-    int64_t revision() const noexcept { return this->currentRevision; }
+    // StoreRevision::none() until the first update.
+    StoreRevision revision() const noexcept { return this->currentRevision; }
     // Hash of the keys and of what is compared by apply().
     uint64_t hash() const noexcept { return this->currentHash; }
     ServerRecordVersion version() const { return { this->currentRevision, this->currentHash }; }
@@ -72,7 +72,7 @@
         uint64_t changedAt = 0;
     };
     struct KnownVersion {
-        int64_t revision = 0;
+        StoreRevision revision;
         uint64_t hash = 0;
         uint64_t updateNumber = 0;
     };
@@ -92,7 +92,7 @@
     // Versions to which the changes are known, oldest first.
     std::deque<KnownVersion> knownVersions;
     uint64_t updateCount = 0;
-    int64_t currentRevision = -1;
+    StoreRevision currentRevision = StoreRevision::none();
     uint64_t currentHash = 0;
 };
 
--- a/src/edge/src/BackendFleet.cpp
+++ b/src/edge/src/BackendFleet.cpp
@@ -50,29 +50,41 @@
         this->markLeaving(server, "draining");
 }
 
+void BackendFleet::applyRecord(const ServerRecord& record)
+{
+    const SteadyTime now = this->clock.now();
+    BackendServerPointer& server = this->byId[record.id];
+    // A server that restarted under the same id is a new server: the state of the former process, such as its cache, is
+    // lost.
+    const bool isRestart = server && record.startedAtMs != server->record.startedAtMs;
+    if (!server || isRestart || server->record.service != record.service || server->record.address != record.address) {
+        if (server) {
+            if (isRestart)
+                this->recordDeparture(*server, true);
+            this->markLeaving(*server, "replaced");
+        }
+        server = std::make_shared<BackendServer>();
+        server->firstSeenAt = now;
+        server->coldTokensRefilledAt = now;
+        server->placementHash = hash64(record.id);
+        server->key = static_cast<ServerKey>(server->placementHash);
+    }
+    const auto region = this->regionOfDomain.find(record.failureDomain);
+    server->region = region == this->regionOfDomain.end() ? std::string() : region->second;
+    this->updateServer(*server, record);
+}
+
 void BackendFleet::applyRecords(const std::vector<ServerRecord>& records, SteadyTime missingGraceUntil)
 {
     const SteadyTime now = this->clock.now();
+    this->heldRecords.clear();
     std::set<std::string> present;
     for (const ServerRecord& record : records) {
         present.insert(record.id);
-        BackendServerPointer& server = this->byId[record.id];
-        // A server that restarted under the same id is a new server: the state of the former process, such as its
-        // cache, is lost.
-        const bool isRestart = server && record.startedAtMs != server->record.startedAtMs;
-        if (!server || isRestart || server->record.service != record.service
-            || server->record.address != record.address) {
-            if (server)
-                this->markLeaving(*server, "replaced");
-            server = std::make_shared<BackendServer>();
-            server->firstSeenAt = now;
-            server->coldTokensRefilledAt = now;
-            server->placementHash = hash64(record.id);
-            server->key = static_cast<ServerKey>(server->placementHash);
-        }
-        const auto region = this->regionOfDomain.find(record.failureDomain);
-        server->region = region == this->regionOfDomain.end() ? std::string() : region->second;
-        this->updateServer(*server, record);
+        if (this->departed.isHeld({ record.id, record.startedAtMs }, now))
+            this->heldRecords.push_back(record);
+        else
+            this->applyRecord(record);
     }
     for (auto& [id, server] : this->byId) {
         if (present.contains(id))
@@ -91,6 +103,7 @@
         BackendServer& server = *entry.second;
         if (server.removeAt == SteadyTime() || server.removeAt > now)
             return false;
+        this->recordDeparture(server, server.isLeaving);
         this->markLeaving(server, "gone");
         return true;
     });
@@ -99,10 +112,69 @@
 
 void BackendFleet::removeExpiredServers()
 {
-    if (this->eraseExpiredServers())
+    const bool wasErased = this->eraseExpiredServers();
+    if (this->addReleasedServers() || wasErased)
         this->rebuildIndexes();
 }
 
+void BackendFleet::recordDeparture(const BackendServer& server, bool isFinal)
+{
+    this->departed.record({ { server.record.id, server.record.startedAtMs }, isFinal }, this->clock.now());
+}
+
+void BackendFleet::holdDepartedServers(SteadyTime until)
+{
+    const SteadyTime now = this->clock.now();
+    for (const auto& [id, server] : this->byId) {
+        if (server->isLeaving)
+            this->recordDeparture(*server, true);
+    }
+    this->departed.beginHold(now, until);
+}
+
+void BackendFleet::addDeparture(const DepartedServers::Departure& departure)
+{
+    const auto found = this->byId.find(departure.server.id);
+    if (found != this->byId.end() && found->second->record.startedAtMs == departure.server.startedAtMs) {
+        if (departure.isFinal) {
+            this->markLeaving(*found->second, "left-earlier");
+        } else if (!found->second->isLeaving) {
+            // Known here from the older copy alone; it may be running, and is not marked as leaving.
+            this->heldRecords.push_back(found->second->record);
+            this->byId.erase(found);
+        }
+    }
+    this->departed.record(departure, this->clock.now());
+}
+
+void BackendFleet::holdDepartedServers(const std::vector<DepartedServers::Departure>& departures, SteadyTime until)
+{
+    for (const DepartedServers::Departure& departure : departures)
+        this->addDeparture(departure);
+    this->rebuildIndexes();
+    this->holdDepartedServers(until);
+}
+
+std::vector<DepartedServers::Departure> BackendFleet::heldDepartures() const
+{
+    return this->departed.heldDepartures(this->clock.now());
+}
+
+bool BackendFleet::addReleasedServers()
+{
+    if (this->heldRecords.empty())
+        return false;
+    const SteadyTime now = this->clock.now();
+    const size_t heldBefore = this->heldRecords.size();
+    std::erase_if(this->heldRecords, [this, now](const ServerRecord& record) {
+        if (this->departed.isHeld({ record.id, record.startedAtMs }, now))
+            return false;
+        this->applyRecord(record);
+        return true;
+    });
+    return this->heldRecords.size() < heldBefore;
+}
+
 void BackendFleet::rebuildIndexes()
 {
     this->byService.clear();
--- a/src/edge/src/ClusterStateCache.cpp
+++ b/src/edge/src/ClusterStateCache.cpp
@@ -4,6 +4,7 @@
 #include <wagtailrack/edge/superviseTask.h>
 
 #include <wagtailrack/base/Hash.h>
+#include <wagtailrack/base/Random.h>
 #include <wagtailrack/version/parseJson.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -72,6 +73,14 @@
 // Largest response of a peer after decompression: a configuration of 1 MB as an escaped JSON string, and other items.
 constexpr size_t maximumPeerMessageBytes = 4'194'304;
 
+// Longest wait after the start for the state of a peer, if the store may have returned from an older copy. A peer is
+// known after the first list of instances, and polled within 100 ms.
+constexpr int64_t maximumPeerStateWaitMs = 1500;
+// Time after the start in which also the region's reader polls peers, which may know a newer configuration.
+constexpr int64_t crossCheckTimeMs = 3000;
+// The instances register in a new era within this time, so that they do not call the store at the same moment.
+constexpr uint64_t registrationSpreadMs = 1500;
+
 int64_t millisecondsBetween(SteadyTime from, SteadyTime to)
 {
     return std::chrono::duration_cast<Milliseconds>(to - from).count();
@@ -86,12 +95,15 @@
     return Json::writeString(builder, value);
 }
 
-Json::Value toJson(const StoreItem& item)
+// `era` is that of the copy: items tell theirs only if it differs.
+Json::Value toJson(const StoreItem& item, int64_t era)
 {
     Json::Value value;
     value["key"] = item.key;
     value["value"] = item.value;
-    value["revision"] = static_cast<Json::Int64>(item.modificationRevision);
+    value["revision"] = static_cast<Json::Int64>(item.modificationRevision.number());
+    if (item.modificationRevision.era() != era)
+        value["era"] = static_cast<Json::Int64>(item.modificationRevision.era());
     return value;
 }
 
@@ -106,17 +118,24 @@
     return value;
 }
 
-// Hash of the keys and their revisions.
-uint64_t hashOf(const std::map<std::string, StoreItem>& items)
+// Era of a peer's section; earlier releases send none.
+int64_t eraOf(const Json::Value& section) { return section["era"].isInt64() ? section["era"].asInt64() : 0; }
+
+// Hash of the keys and their revisions in a copy of era `era`. Equal to that of earlier releases unless items of an
+// earlier era are kept.
+uint64_t hashOf(const std::map<std::string, StoreItem>& items, int64_t era)
 {
+    constexpr uint64_t eraFactor = 0x9e3779b97f4a7c15;
     uint64_t hash = 1;
-    for (const auto& [key, item] : items)
-        hash = hash64(key, hash ^ static_cast<uint64_t>(item.modificationRevision));
+    for (const auto& [key, item] : items) {
+        const auto erasSince = static_cast<uint64_t>(era - item.modificationRevision.era());
+        hash = hash64(key, hash ^ static_cast<uint64_t>(item.modificationRevision.number()) ^ (erasSince * eraFactor));
+    }
     return hash;
 }
 
 // Reads the items of a peer's response. Fails with AnswerInvalid.
-Result<std::vector<StoreItem>> parseItems(const Json::Value& list, const std::string& place)
+Result<std::vector<StoreItem>> parseItems(const Json::Value& list, const std::string& place, int64_t era)
 {
     std::vector<StoreItem> items;
     if (!list.isArray())
@@ -125,7 +144,9 @@
         if (!entry.isObject() || !entry["key"].isString() || !entry["value"].isString() || !entry["revision"].isInt64())
             return makeError(ErrorCode::AnswerInvalid, place,
                 "field items: expected objects with key (string), value (string) and revision (64-bit integer)");
-        items.push_back({ entry["key"].asString(), entry["value"].asString(), entry["revision"].asInt64() });
+        const int64_t itemEra = entry["era"].isInt64() ? entry["era"].asInt64() : era;
+        items.push_back(
+            { entry["key"].asString(), entry["value"].asString(), { itemEra, entry["revision"].asInt64() } });
     }
     return items;
 }
@@ -145,9 +166,10 @@
     , peerConnections(peers)
     , metrics(metrics)
     , log(log)
+    , recovery(clock, Milliseconds(settings.bounds.registryRecoveryMs))
     , serverRecords(codec, [this](const StoreItem& item, const Error& error) {
         this->log.write(LogCategory::ProcessState, "server-record-refused",
-            { { "key", item.key }, { "revision", item.modificationRevision }, { "reason", describe(error) } });
+            { { "key", item.key }, { "revision", item.modificationRevision.number() }, { "reason", describe(error) } });
     })
 {
 }
@@ -184,9 +206,11 @@
 
 int64_t ClusterStateCache::operatorItemsAgeMs() const
 {
-    // While a watch is pending, any response of the store shows that the store would have reported a change.
+    // While a watch is pending, any response of the store shows that the store would have reported a change; but not a
+    // response of a later era than the watch.
+    const bool isConfirmed = this->isWatching && this->store.latestEra() <= this->operatorItemsRevision.era();
     const SteadyTime readAt
-        = this->isWatching ? std::max(this->operatorItemsReadAt, this->lastStoreResponseAt) : this->operatorItemsReadAt;
+        = isConfirmed ? std::max(this->operatorItemsReadAt, this->lastStoreResponseAt) : this->operatorItemsReadAt;
     return millisecondsBetween(readAt, this->clock.now());
 }
 
@@ -204,7 +228,10 @@
 
 bool ClusterStateCache::isConfigurationOutdated() const
 {
+    // While the store recovers, a newer version may have been in force that nobody here has seen.
     return this->reportedOperatorItemsRevision > this->operatorItemsRevision
+        || this->isNewerConfiguration(this->reportedConfigurationVersion) || this->recovery.isActive()
+        || this->store.latestEra() > this->operatorItemsRevision.era()
         || this->operatorItemsReadAt < this->watchAnsweredAt || this->operatorItemsAgeMs() >= outageThresholdMs;
 }
 
@@ -270,13 +297,37 @@
             { "servers_age_ms", this->hasServerRecords ? this->serverRecordsAgeMs() : -1 } });
 }
 
+void ClusterStateCache::recordFailedListing(const char* call, const Error& error)
+{
+    // The store has answered, but its era changed meanwhile.
+    if (error.code == ErrorCode::StaleVersion)
+        this->countStoreCall(call, false);
+    else
+        this->recordStoreCall(false, call, describe(error));
+}
+
+bool ClusterStateCache::isNewerConfiguration(uint64_t version) const
+{
+    return this->storeEra() > 0 && version > std::max(this->activeVersion(), this->refusedPeerVersion);
+}
+
+bool ClusterStateCache::isAwaitingPeerState() const
+{
+    return this->store.latestEra() > 0
+        && millisecondsBetween(this->startedAt, this->clock.now()) < maximumPeerStateWaitMs
+        && (!this->hasPeerState || this->isNewerConfiguration(this->reportedConfigurationVersion));
+}
+
 void ClusterStateCache::applyOperatorItemChanges(StoreChanges changes, SteadyTime readAt, const char* source)
 {
     std::map<std::string, StoreItem> items = this->operatorItems;
     for (StoreItem& item : changes.written)
         items[item.key] = std::move(item);
-    for (const std::string& key : changes.removed)
+    for (const std::string& key : changes.removed) {
         items.erase(key);
+        if (const auto domain = this->codec.evacuatedDomain(key))
+            this->recovery.releaseEvacuation(*domain);
+    }
     this->applyOperatorItems(std::move(items), changes.revision, readAt, source);
 }
 
@@ -307,7 +358,7 @@
 asio::awaitable<bool> ClusterStateCache::readOperatorItems()
 {
     // The configuration may have 1 MB, and all instances of a region read at the same time when their reader is lost.
-    if (this->operatorItemsRevision >= 0 && !this->needsOperatorListing) {
+    if (this->operatorItemsRevision > StoreRevision::none() && !this->needsOperatorListing) {
         const bool wasRead = co_await this->readOperatorItemChanges();
         if (wasRead || !this->needsOperatorListing)
             co_return wasRead;
@@ -316,7 +367,7 @@
     const std::string prefix = this->codec.layout().operatorPrefix;
     Result<StoreListing> listing = co_await this->store.list(prefix, ReadConsistency::Linearizable);
     if (!listing) {
-        this->recordStoreCall(false, "list-operator", describe(listing.error()));
+        this->recordFailedListing("list-operator", listing.error());
         co_return false;
     }
     this->recordStoreCall(true, "list-operator", "");
@@ -331,14 +382,15 @@
 void ClusterStateCache::endWatch()
 {
     this->isWatching = false;
-    this->operatorItemsReadAt = std::max(this->operatorItemsReadAt, this->lastStoreResponseAt);
+    if (this->store.latestEra() <= this->operatorItemsRevision.era())
+        this->operatorItemsReadAt = std::max(this->operatorItemsReadAt, this->lastStoreResponseAt);
     this->watchAnsweredAt = this->clock.now();
 }
 
 asio::awaitable<void> ClusterStateCache::watchOperatorItems()
 {
     const std::string prefix = this->codec.layout().operatorPrefix;
-    int64_t revision = this->operatorItemsRevision;
+    StoreRevision revision = this->operatorItemsRevision;
     while (this->isRegionStoreReader()) {
         this->isWatching = true;
         Result<StoreChanges> changes
@@ -387,7 +439,7 @@
     const std::string prefix = this->codec.layout().serverPrefix;
     Result<StoreListing> listing = co_await this->store.list(prefix, ReadConsistency::Linearizable);
     if (!listing) {
-        this->recordStoreCall(false, "list-servers", describe(listing.error()));
+        this->recordFailedListing("list-servers", listing.error());
         co_return false;
     }
     this->recordStoreCall(true, "list-servers", "");
@@ -412,6 +464,9 @@
                 nextReadAt = this->clock.now() + Milliseconds(storeRetryDelayMs);
         }
         this->fleet.removeExpiredServers();
+        this->endRecovery();
+        if (!this->isStartConfirmed && this->activeRoutingTable && !this->isAwaitingPeerState())
+            this->isStartConfirmed = true;
         co_await this->sleep(ageCheckIntervalMs);
     }
 }
@@ -429,6 +484,17 @@
             if (!peer.empty())
                 co_await this->fetchStateFromPeer(peer);
         }
+        // The reader does not poll usually. After its start and after a rollback of the store, others may act on a
+        // newer configuration than the store has.
+        const SteadyTime now = this->clock.now();
+        const bool isCrossChecking = this->recovery.isActive()
+            || (this->store.latestEra() > 0 && millisecondsBetween(this->startedAt, now) < crossCheckTimeMs);
+        if (isCrossChecking && (!this->hasPeerState || (isReader && now >= this->nextCrossCheckAt))) {
+            this->nextCrossCheckAt = now + Milliseconds(peerPollIntervalMs);
+            const std::string peer = this->nextPeer();
+            if (!peer.empty())
+                co_await this->fetchStateFromPeer(peer);
+        }
         co_await this->sleep(ageCheckIntervalMs);
     }
 }
@@ -460,9 +526,11 @@
 {
     if (!section["hash"].isUInt64())
         return false;
-    if (currency.revision <= this->operatorItemsRevision)
+    const uint64_t version = section["configuration"].isUInt64() ? section["configuration"].asUInt64() : 0;
+    const bool isNewerCopy = currency.revision > this->operatorItemsRevision;
+    if (!isNewerCopy && !this->isNewerConfiguration(version))
         return true;
-    Result<std::vector<StoreItem>> changed = parseItems(section["items"], address);
+    Result<std::vector<StoreItem>> changed = parseItems(section["items"], address, currency.revision.era());
     if (!changed)
         return false;
     std::map<std::string, StoreItem> items;
@@ -475,10 +543,15 @@
         items[item.key] = std::move(item);
     // The changes are relative to the copy of the request, which may have been replaced meanwhile. Instances of earlier
     // releases send all items, and no list of keys.
-    this->needsAllOperatorItems = hashOf(items) != section["hash"].asUInt64();
+    this->needsAllOperatorItems = hashOf(items, currency.revision.era()) != section["hash"].asUInt64();
     if (this->needsAllOperatorItems)
         return false;
-    this->applyOperatorItems(std::move(items), currency.revision, currency.readAt, "peer");
+    if (isNewerCopy)
+        this->applyOperatorItems(std::move(items), currency.revision, currency.readAt, "peer");
+    else
+        this->adoptConfiguration(items);
+    if (this->isNewerConfiguration(version))
+        this->refusedPeerVersion = version;
     return true;
 }
 
@@ -508,19 +581,21 @@
 asio::awaitable<void> ClusterStateCache::fetchOperatorItemsFromPeer(std::string address)
 {
     const SteadyTime requestedAt = this->clock.now();
-    const int64_t since = this->needsAllOperatorItems ? 0 : this->operatorItemsRevision;
-    const std::string target = "/operator-items?since=" + std::to_string(since);
+    const StoreRevision since = this->needsAllOperatorItems ? StoreRevision() : this->operatorItemsRevision;
+    const std::string target = "/operator-items?since=" + std::to_string(since.number())
+        + "&sinceEra=" + std::to_string(since.era()) + "&configuration=" + std::to_string(this->activeVersion());
     const HttpResponse response = co_await this->callPeer(address, target, maximumFetchTime);
     const std::string& body = response.body();
     // The peer's copy may have changed since the poll, so that the response says itself how current it is.
     const auto revision = integerHeader(response, operatorItemsRevisionHeader);
+    const int64_t era = integerHeader(response, operatorItemsEraHeader).value_or(0);
     const auto ageMs = integerHeader(response, operatorItemsAgeHeader);
     const Result<std::string> text = decompress(body, maximumPeerMessageBytes);
     const Result<Json::Value> section
         = text ? version::parseJson(text.value(), address) : Result<Json::Value>(text.error());
     const bool isApplied = section && section.value().isObject() && revision && ageMs
         && this->applyOperatorItemsFromPeer(
-            section.value(), { *revision, requestedAt - Milliseconds(*ageMs) }, address);
+            section.value(), { { era, *revision }, requestedAt - Milliseconds(*ageMs) }, address);
     // The poll that follows confirms the copy, or shows that a change came meanwhile.
     const SteadyTime endedAt = this->clock.now();
     this->fetchExpectedUntil = isApplied ? endedAt + Milliseconds(peerPollIntervalMs) : endedAt;
@@ -534,7 +609,7 @@
         this->nextFetchAt = endedAt + Milliseconds(storeRetryDelayMs);
     }
     this->log.write(LogCategory::ProcessState, "operator-items-fetched",
-        { { "peer", address }, { "since", since }, { "bytes", static_cast<uint64_t>(body.size()) },
+        { { "peer", address }, { "since", since.number() }, { "bytes", static_cast<uint64_t>(body.size()) },
             { "ms", millisecondsBetween(requestedAt, endedAt) },
             { "outcome",
                 isApplied          ? "applied"
@@ -548,8 +623,11 @@
         = this->needsAllServerRecords ? ServerRecordVersion() : this->serverRecords.version();
     const SteadyTime requestedAt = this->clock.now();
     const std::string target = "/state?operator=" + std::to_string(this->operatorItemsHash)
-        + "&operatorRevision=" + std::to_string(this->needsAllOperatorItems ? 0 : this->operatorItemsRevision)
-        + "&servers=" + std::to_string(ownVersion.revision)
+        + "&operatorRevision=" + std::to_string(this->needsAllOperatorItems ? 0 : this->operatorItemsRevision.number())
+        + "&operatorEra=" + std::to_string(this->needsAllOperatorItems ? 0 : this->operatorItemsRevision.era())
+        + "&configuration=" + std::to_string(this->activeVersion())
+        + "&recovery=" + std::to_string(this->recovery.era()) + "&from=" + this->settings.address + "&serversEra="
+        + std::to_string(ownVersion.revision.era()) + "&servers=" + std::to_string(ownVersion.revision.number())
         + (ownVersion.hash ? "&serversHash=" + std::to_string(*ownVersion.hash) : "");
     const HttpResponse response = co_await this->callPeer(address, target, maximumPollTime);
     if (response.body().empty())
@@ -563,13 +641,20 @@
         const int64_t ageMs = section["ageMs"].isInt64() ? section["ageMs"].asInt64() : outageThresholdMs;
         return requestedAt - Milliseconds(ageMs);
     };
+    this->hasPeerState = true;
+    this->joinRecovery(answer.value()["recovery"], address);
     const Json::Value& operatorSection = answer.value()["operator"];
     if (operatorSection.isObject() && operatorSection["revision"].isInt64() && operatorSection["hash"].isUInt64()) {
-        const int64_t revision = operatorSection["revision"].asInt64();
-        if (revision >= this->operatorItemsRevision && operatorSection["hash"].asUInt64() == this->operatorItemsHash) {
+        const StoreRevision revision(eraOf(operatorSection), operatorSection["revision"].asInt64());
+        const Json::Value& version = operatorSection["configuration"];
+        if (version.isUInt64())
+            this->reportedConfigurationVersion = std::max(this->reportedConfigurationVersion, version.asUInt64());
+        if (revision.era() == this->operatorItemsRevision.era() && revision >= this->operatorItemsRevision
+            && operatorSection["hash"].asUInt64() == this->operatorItemsHash) {
             this->operatorItemsRevision = revision;
             this->operatorItemsReadAt = std::max(this->operatorItemsReadAt, readAt(operatorSection));
-        } else if (revision > this->operatorItemsRevision) {
+        } else if (revision > this->operatorItemsRevision
+            || (version.isUInt64() && this->isNewerConfiguration(version.asUInt64()))) {
             this->reportedOperatorItemsRevision = std::max(this->reportedOperatorItemsRevision, revision);
             if (operatorSection.isMember("items"))
                 this->applyOperatorItemsFromPeer(operatorSection, { revision, readAt(operatorSection) }, address);
@@ -582,11 +667,12 @@
         || !serversSection["removed"].isArray())
         co_return false;
     const SteadyTime serversReadAt = readAt(serversSection);
-    const int64_t revision = serversSection["revision"].asInt64();
+    const StoreRevision revision(eraOf(serversSection), serversSection["revision"].asInt64());
+    const bool isNewEra = revision.era() > this->serverRecords.revision().era();
     const bool isFullListing = serversSection["whole"].asBool();
-    if (revision < this->serverRecords.revision() || serversReadAt <= this->serverRecordsReadAt)
+    if (revision < this->serverRecords.revision() || (!isNewEra && serversReadAt <= this->serverRecordsReadAt))
         co_return true;
-    Result<std::vector<StoreItem>> items = parseItems(serversSection["items"], address);
+    Result<std::vector<StoreItem>> items = parseItems(serversSection["items"], address, revision.era());
     // An incremental update is relative to the copy that the request told of. A read of the store that completed
     // meanwhile may have replaced the copy, and the update then does not fit.
     if (!items || (!isFullListing && ownVersion != this->serverRecords.version()))
@@ -602,71 +688,167 @@
     this->needsAllServerRecords = !isFullListing && hash.isUInt64() && hash.asUInt64() != this->serverRecords.hash();
     if (this->needsAllServerRecords)
         this->log.write(LogCategory::ProcessState, "server-records-mismatch",
-            { { "peer", address }, { "revision", revision },
+            { { "peer", address }, { "revision", revision.number() },
                 { "count", static_cast<uint64_t>(this->serverRecords.size()) } });
     co_return true;
 }
 
-void ClusterStateCache::applyOperatorItems(
-    std::map<std::string, StoreItem> items, int64_t revision, SteadyTime readAt, const char* source)
+bool ClusterStateCache::activateConfiguration(const StoreItem& item, const char* source)
 {
-    if (revision < this->operatorItemsRevision)
-        return;
-    this->operatorItemsRevision = revision;
-    this->operatorItemsReadAt = std::max(this->operatorItemsReadAt, readAt);
-    if (items == this->operatorItems)
-        return;
-    std::set<std::string> evacuated;
-    for (const auto& [key, item] : items) {
-        if (const auto domain = this->codec.evacuatedDomain(key))
-            evacuated.insert(*domain);
-        if (!this->codec.isConfiguration(key))
-            continue;
+    Result<RoutingTablePointer> decoded = this->codec.decodeConfiguration(item.value);
+    if (!decoded) {
+        if (this->refusedConfigurationRevision != item.modificationRevision)
+            this->log.write(LogCategory::ProcessState, "configuration-refused",
+                { { "revision", item.modificationRevision.number() }, { "reason", describe(decoded.error()) },
+                    { "kept_version", this->activeVersion() } });
+        this->refusedConfigurationRevision = item.modificationRevision;
+        return true;
+    }
+    const RoutingTablePointer& table = decoded.value();
+    if (this->activeRoutingTable && table->version() <= this->activeRoutingTable->version())
+        return table->version() < this->activeRoutingTable->version();
+    this->activeRoutingTable = table;
+    this->log.write(LogCategory::ProcessState, "configuration-active",
+        { { "version", table->version() }, { "revision", item.modificationRevision.number() }, { "source", source },
+            { "routes", static_cast<uint64_t>(table->routeCount()) } });
+    return false;
+}
+
+void ClusterStateCache::applyConfigurations(
+    std::map<std::string, StoreItem>& items, StoreRevision revision, const char* source)
+{
+    for (auto& [key, item] : items) {
         const auto previous = this->operatorItems.find(key);
-        if (previous != this->operatorItems.end() && previous->second.modificationRevision == item.modificationRevision)
+        const bool isKnown = previous != this->operatorItems.end();
+        // In a new era all revisions are new, but few values.
+        if (!this->codec.isConfiguration(key)
+            || (isKnown
+                && (previous->second.modificationRevision == item.modificationRevision
+                    || previous->second.value == item.value)))
             continue;
-        Result<RoutingTablePointer> decoded = this->codec.decodeConfiguration(item.value);
-        if (!decoded) {
-            if (this->refusedConfigurationRevision != item.modificationRevision)
-                this->log.write(LogCategory::ProcessState, "configuration-refused",
-                    { { "revision", item.modificationRevision }, { "reason", describe(decoded.error()) },
-                        { "kept_version", this->activeRoutingTable ? this->activeRoutingTable->version() : 0 } });
-            this->refusedConfigurationRevision = item.modificationRevision;
+        const bool isOlderCopy
+            = isKnown && previous->second.modificationRevision.era() < item.modificationRevision.era();
+        const bool isIgnored = isOlderCopy && item.modificationRevision == this->ignoredConfigurationRevision;
+        if (!isIgnored && (!this->activateConfiguration(item, source) || !isOlderCopy))
             continue;
-        }
-        const RoutingTablePointer& table = decoded.value();
-        if (this->activeRoutingTable && table->version() <= this->activeRoutingTable->version())
+        if (!isIgnored)
+            this->log.write(LogCategory::ProcessState, "configuration-retained",
+                { { "version", this->activeVersion() }, { "era", revision.era() },
+                    { "revision", item.modificationRevision.number() }, { "source", source } });
+        this->ignoredConfigurationRevision = item.modificationRevision;
+        item = previous->second;
+    }
+    for (const auto& [key, item] : this->operatorItems) {
+        if (this->codec.isConfiguration(key) && item.modificationRevision.era() < revision.era())
+            items.try_emplace(key, item);
+    }
+}
+
+void ClusterStateCache::adoptConfiguration(const std::map<std::string, StoreItem>& items)
+{
+    for (const auto& [key, item] : items) {
+        const uint64_t versionBefore = this->activeVersion();
+        if (!this->codec.isConfiguration(key))
             continue;
-        this->activeRoutingTable = table;
-        this->log.write(LogCategory::ProcessState, "configuration-active",
-            { { "version", table->version() }, { "revision", item.modificationRevision }, { "source", source },
-                { "routes", static_cast<uint64_t>(table->routeCount()) } });
-    }
-    std::string domainNames;
-    for (const std::string& domain : evacuated)
-        domainNames += (domainNames.empty() ? "" : ",") + domain;
-    const auto isEvacuation
-        = [this](const auto& entry) { return this->codec.evacuatedDomain(entry.first).has_value(); };
-    const auto previousCount = std::count_if(this->operatorItems.begin(), this->operatorItems.end(), isEvacuation);
-    if (static_cast<size_t>(previousCount) != evacuated.size())
+        this->activateConfiguration(item, "peer");
+        if (this->activeVersion() > versionBefore)
+            this->operatorItems[key] = item;
+    }
+    this->operatorItemsHash = hashOf(this->operatorItems, this->operatorItemsRevision.era());
+}
+
+void ClusterStateCache::enterEra(StoreRevision previous, StoreRevision revision, const char* source)
+{
+    const bool isFirstCopy = revision.era() > this->storeEra();
+    this->recovery.begin(revision.era());
+    if (!isFirstCopy)
+        return;
+    this->metrics.count("wagtailrack_store_era_changes_total", "");
+    this->log.write(LogCategory::ProcessState, "store-era",
+        { { "era", revision.era() }, { "previous", previous.era() }, { "revision", revision.number() },
+            { "previous_revision", previous.number() }, { "version", this->activeVersion() }, { "source", source },
+            { "recovery_ms", this->recovery.remaining().count() } });
+}
+
+void ClusterStateCache::retainEvacuations(const std::map<std::string, StoreItem>& items)
+{
+    for (const std::string& domain : this->evacuatedDomains)
+        this->recovery.retainEvacuation(domain);
+    for (const auto& [key, item] : items) {
+        if (const auto domain = this->codec.evacuatedDomain(key))
+            this->recovery.releaseEvacuation(*domain);
+    }
+}
+
+void ClusterStateCache::applyEvacuations(const char* source)
+{
+    std::set<std::string> domains = this->recovery.retainedEvacuations();
+    const auto retainedCount = static_cast<uint64_t>(domains.size());
+    for (const auto& [key, item] : this->operatorItems) {
+        if (const auto domain = this->codec.evacuatedDomain(key))
+            domains.insert(*domain);
+    }
+    std::string names;
+    for (const std::string& domain : domains)
+        names += (names.empty() ? "" : ",") + domain;
+    if (domains != this->evacuatedDomains)
         this->log.write(LogCategory::ProcessState, "evacuation",
-            { { "domains", domainNames }, { "revision", revision }, { "source", source } });
+            { { "domains", names }, { "revision", this->operatorItemsRevision.number() }, { "source", source },
+                { "retained", retainedCount } });
+    this->evacuatedDomains = domains;
     // Time for which servers count as cold after the evacuation of their failure domain has ended. More than the cold
     // time of any service would only slow their return to use.
     constexpr int64_t coldAfterEvacuationMs = 3000;
-    this->fleet.setEvacuatedDomains(std::move(evacuated), coldAfterEvacuationMs);
+    this->fleet.setEvacuatedDomains(std::move(domains), coldAfterEvacuationMs);
+}
+
+void ClusterStateCache::endRecovery()
+{
+    if (this->recovery.takeExpiry())
+        this->applyEvacuations("recovery-end");
+}
+
+void ClusterStateCache::applyOperatorItems(
+    std::map<std::string, StoreItem> items, StoreRevision revision, SteadyTime readAt, const char* source)
+{
+    if (revision < this->operatorItemsRevision)
+        return;
+    const StoreRevision previous = this->operatorItemsRevision;
+    if (previous > StoreRevision::none() && revision.era() > previous.era()) {
+        this->enterEra(previous, revision, source);
+        this->retainEvacuations(items);
+    }
+    this->applyConfigurations(items, revision, source);
+    this->operatorItemsRevision = revision;
+    this->operatorItemsReadAt = std::max(this->operatorItemsReadAt, readAt);
+    this->operatorItemsHash = hashOf(items, revision.era());
+    if (items == this->operatorItems)
+        return;
     this->operatorItems = std::move(items);
-    this->operatorItemsHash = hashOf(this->operatorItems);
     this->needsAllOperatorItems = false;
+    if (this->recovery.isActive()) {
+        for (const auto& [key, item] : this->operatorItems) {
+            if (const auto domain = this->codec.evacuatedDomain(key))
+                this->recovery.releaseEvacuation(*domain);
+        }
+    }
+    this->applyEvacuations(source);
 }
 
 void ClusterStateCache::applyServerRecords(ServerRecordUpdate update, SteadyTime readAt, const char* source)
 {
-    if (update.revision < this->serverRecords.revision() || readAt < this->serverRecordsReadAt)
+    const StoreRevision previous = this->serverRecords.revision();
+    const bool isNewEra = this->hasServerRecords && update.revision.era() > previous.era();
+    if (update.revision < previous || (!isNewEra && readAt < this->serverRecordsReadAt))
         return;
     const SteadyTime now = this->clock.now();
-    if (this->hasServerRecords && millisecondsBetween(this->serverRecordsReadAt, readAt) > outageThresholdMs)
+    if (this->hasServerRecords
+        && (isNewEra || millisecondsBetween(this->serverRecordsReadAt, readAt) > outageThresholdMs))
         this->missingGraceUntil = now + Milliseconds(this->settings.bounds.registryRecoveryMs);
+    if (isNewEra) {
+        this->enterEra(previous, update.revision, source);
+        this->fleet.holdDepartedServers(this->recovery.endTime());
+    }
     const bool isFullListing = update.isFullListing;
     const bool isChanged = this->serverRecords.apply(std::move(update));
     this->serverRecordsReadAt = readAt;
@@ -674,8 +856,9 @@
     if (isChanged)
         this->log.write(LogCategory::ProcessState, "servers",
             { { "count", static_cast<uint64_t>(this->serverRecords.size()) },
-                { "revision", this->serverRecords.revision() }, { "source", source },
-                { "whole", isFullListing ? 1 : 0 }, { "age_ms", millisecondsBetween(readAt, now) } });
+                { "revision", this->serverRecords.revision().number() }, { "source", source },
+                { "whole", isFullListing ? 1 : 0 }, { "age_ms", millisecondsBetween(readAt, now) },
+                { "held", static_cast<uint64_t>(this->fleet.heldServerCount()) } });
     if (isChanged || isFullListing)
         this->fleet.applyRecords(this->serverRecords.records(), std::max(this->missingGraceUntil, now));
 }
@@ -686,27 +869,36 @@
     int listCount = 0;
     SteadyTime nextListAt;
     SteadyTime nextRenewalAt;
+    int64_t registeredEra = 0;
     while (true) {
+        // The record and the lease are lost with the era, and the lease's id may be given to another instance.
+        const int64_t era = std::max(this->store.latestEra(), this->storeEra());
+        if (era > registeredEra) {
+            registeredEra = era;
+            const auto delayMs
+                = this->lease == StoreLease() ? 0 : static_cast<int64_t>(randomBelow(registrationSpreadMs));
+            nextRenewalAt = std::min(nextRenewalAt, this->clock.now() + Milliseconds(delayMs));
+        }
         if (this->clock.now() >= nextRenewalAt) {
             Status renewed = success();
-            if (this->leaseId != 0) {
-                renewed = co_await this->store.renewLease(this->leaseId);
+            if (this->lease != StoreLease()) {
+                renewed = co_await this->store.renewLease(this->lease);
                 this->countStoreCall("renew-lease", renewed.has_value());
             }
             if (!renewed && renewed.error().code == ErrorCode::NotFound)
-                this->leaseId = 0;
-            if (this->leaseId == 0) {
-                Result<int64_t> granted = co_await this->store.grantLease(leaseTtlMs);
+                this->lease = {};
+            if (this->lease == StoreLease()) {
+                Result<StoreLease> granted = co_await this->store.grantLease(leaseTtlMs);
                 this->countStoreCall("grant-lease", granted.has_value());
                 if (granted) {
                     const std::string key = prefix + this->settings.address;
                     renewed = co_await this->store.put(key, "{}", granted.value());
                     this->countStoreCall("put-instance", renewed.has_value());
                     if (renewed)
-                        this->leaseId = granted.value();
+                        this->lease = granted.value();
                 }
             }
-            const bool isRegistered = this->leaseId != 0 && renewed;
+            const bool isRegistered = this->lease != StoreLease() && renewed;
             nextRenewalAt
                 = this->clock.now() + Milliseconds(isRegistered ? leaseRenewalIntervalMs : storeRetryDelayMs * 4);
         }
@@ -716,11 +908,15 @@
             Result<StoreListing> listing = co_await this->store.list(prefix, ReadConsistency::Serializable);
             this->countStoreCall("list-instances", listing.has_value());
             if (listing) {
+                bool hasOthers = this->membership.aliveInstances().size() > 1;
                 for (const StoreItem& item : listing.value().items) {
                     const Result<uint32_t> address = parseIPv4(std::string_view(item.key).substr(prefix.size()));
-                    if (address)
-                        this->membership.addAddress(address.value());
+                    if (!address)
+                        continue;
+                    hasOthers = hasOthers || address.value() != this->membership.ownHeartbeat().address;
+                    this->membership.addAddress(address.value());
                 }
+                this->hasPeerState = this->hasPeerState || !hasOthers;
             }
             nextListAt = this->clock.now()
                 + Milliseconds(++listCount < initialListCount ? initialListIntervalMs : listIntervalMs);
@@ -731,20 +927,85 @@
 
 asio::awaitable<void> ClusterStateCache::unregister()
 {
-    if (this->leaseId == 0)
+    // Revoking a lease of an earlier era would end that of another instance.
+    if (this->lease == StoreLease() || this->lease.era() < this->storeEra())
         co_return;
-    const Status ended = co_await this->store.revokeLease(this->leaseId);
-    this->leaseId = 0;
+    const Status ended = co_await this->store.revokeLease(this->lease);
+    this->lease = {};
     if (!ended)
         this->log.write(LogCategory::ProcessState, "lease-not-ended", { { "reason", describe(ended.error()) } });
 }
 
-Json::Value ClusterStateCache::changedOperatorItems(int64_t sinceRevision) const
+bool ClusterStateCache::isChangedFor(const PeerCopy& copy, const StoreItem& item) const
+{
+    // A configuration that was kept from an earlier era has a lower revision than the peer's copy.
+    return item.modificationRevision > copy.operatorItemsRevision
+        || (copy.configurationVersion && *copy.configurationVersion < this->activeVersion()
+            && this->codec.isConfiguration(item.key));
+}
+
+void ClusterStateCache::notePeerCopy(const PeerCopy& copy)
+{
+    if (!copy.configurationVersion || !this->isNewerConfiguration(*copy.configurationVersion))
+        return;
+    const std::vector<InstanceHeartbeat> alive = this->membership.aliveInstances();
+    const auto isPeer
+        = [&copy](const InstanceHeartbeat& heartbeat) { return toDottedDecimal(heartbeat.address) == copy.address; };
+    if (std::none_of(alive.begin(), alive.end(), isPeer))
+        return;
+    this->reportedConfigurationVersion = std::max(this->reportedConfigurationVersion, *copy.configurationVersion);
+    this->startOperatorItemsFetch(copy.address);
+}
+
+Json::Value ClusterStateCache::encodeRecovery() const
+{
+    Json::Value section;
+    section["era"] = static_cast<Json::Int64>(this->recovery.era());
+    section["remainingMs"] = static_cast<Json::Int64>(this->recovery.remaining().count());
+    section["evacuated"] = Json::Value(Json::arrayValue);
+    for (const std::string& domain : this->recovery.retainedEvacuations())
+        section["evacuated"].append(domain);
+    section["departed"] = Json::Value(Json::arrayValue);
+    for (const DepartedServers::Departure& departure : this->fleet.heldDepartures()) {
+        Json::Value& entry = section["departed"].append(Json::Value());
+        entry["id"] = departure.server.id;
+        entry["startedAtMs"] = static_cast<Json::Int64>(departure.server.startedAtMs);
+        entry["isFinal"] = departure.isFinal;
+    }
+    return section;
+}
+
+void ClusterStateCache::joinRecovery(const Json::Value& section, const std::string& address)
+{
+    if (!section.isObject() || eraOf(section) <= this->recovery.era() || !section["remainingMs"].isInt64()
+        || !section["evacuated"].isArray() || !section["departed"].isArray())
+        return;
+    this->recovery.join(eraOf(section), Milliseconds(section["remainingMs"].asInt64()));
+    for (const Json::Value& domain : section["evacuated"]) {
+        if (domain.isString())
+            this->recovery.retainEvacuation(domain.asString());
+    }
+    std::vector<DepartedServers::Departure> departures;
+    for (const Json::Value& entry : section["departed"]) {
+        if (entry.isObject() && entry["id"].isString() && entry["startedAtMs"].isInt64() && entry["isFinal"].isBool())
+            departures.push_back(
+                { { entry["id"].asString(), entry["startedAtMs"].asInt64() }, entry["isFinal"].asBool() });
+    }
+    this->log.write(LogCategory::ProcessState, "store-recovery-joined",
+        { { "era", this->recovery.era() }, { "peer", address },
+            { "departed", static_cast<uint64_t>(departures.size()) },
+            { "evacuations", static_cast<uint64_t>(section["evacuated"].size()) },
+            { "remaining_ms", this->recovery.remaining().count() } });
+    this->fleet.holdDepartedServers(departures, this->recovery.endTime());
+    this->applyEvacuations("peer");
+}
+
+Json::Value ClusterStateCache::changedOperatorItems(const PeerCopy& copy) const
 {
     Json::Value items(Json::arrayValue);
     for (const auto& [key, item] : this->operatorItems) {
-        if (item.modificationRevision > sinceRevision)
-            items.append(toJson(item));
+        if (this->isChangedFor(copy, item))
+            items.append(toJson(item, this->operatorItemsRevision.era()));
     }
     return items;
 }
@@ -752,22 +1013,23 @@
 void ClusterStateCache::describeOperatorItems(Json::Value& section, const Json::Value& changedItems) const
 {
     section["hash"] = static_cast<Json::UInt64>(this->operatorItemsHash);
+    section["configuration"] = static_cast<Json::UInt64>(this->activeVersion());
     section["items"] = changedItems;
     section["keys"] = Json::Value(Json::arrayValue);
     for (const auto& [key, item] : this->operatorItems)
         section["keys"].append(key);
 }
 
-std::string ClusterStateCache::encodeOperatorItemsForPeer(int64_t peerOperatorItemsRevision)
+std::string ClusterStateCache::encodeOperatorItemsForPeer(const PeerCopy& copy)
 {
-    if (this->operatorItemsRevision < 0)
+    if (this->operatorItemsRevision == StoreRevision::none())
         return {};
     uint64_t key = this->operatorItemsHash;
     for (const auto& [name, item] : this->operatorItems)
-        key = hash64(item.modificationRevision > peerOperatorItemsRevision ? "1" : "0", key);
+        key = hash64(this->isChangedFor(copy, item) ? "1" : "0", key);
     if (key != this->encodedOperatorItemsKey) {
         Json::Value section;
-        this->describeOperatorItems(section, this->changedOperatorItems(peerOperatorItemsRevision));
+        this->describeOperatorItems(section, this->changedOperatorItems(copy));
         this->encodedOperatorItems = compress(encodeJson(section));
         this->encodedOperatorItemsKey = key;
     }
@@ -779,31 +1041,36 @@
     const SteadyTime now = this->clock.now();
     // An object even while nothing is known yet, so that peers do not take the response for a malformed one.
     Json::Value state(Json::objectValue);
-    if (this->operatorItemsRevision >= 0) {
+    if (this->recovery.isActive() && this->recovery.era() > copy.recoveryEra)
+        state["recovery"] = this->encodeRecovery();
+    if (this->operatorItemsRevision > StoreRevision::none()) {
         Json::Value& section = state["operator"];
-        section["revision"] = static_cast<Json::Int64>(this->operatorItemsRevision);
+        section["revision"] = static_cast<Json::Int64>(this->operatorItemsRevision.number());
+        section["era"] = static_cast<Json::Int64>(this->operatorItemsRevision.era());
+        section["configuration"] = static_cast<Json::UInt64>(this->activeVersion());
         section["hash"] = static_cast<Json::UInt64>(this->operatorItemsHash);
         section["ageMs"] = static_cast<Json::Int64>(this->operatorItemsAgeMs());
         // Instances of earlier releases tell no revision, and expect all items here.
-        const bool isEarlierRelease = copy.operatorItemsRevision < 0;
+        const bool isEarlierRelease = copy.operatorItemsRevision == StoreRevision::none();
         size_t changedBytes = 0;
         for (const auto& [key, item] : this->operatorItems)
-            changedBytes += item.modificationRevision > copy.operatorItemsRevision ? item.value.size() : 0;
+            changedBytes += this->isChangedFor(copy, item) ? item.value.size() : 0;
         if (this->operatorItemsHash != copy.operatorItemsHash
             && (isEarlierRelease || changedBytes <= maximumInlineBytes))
-            this->describeOperatorItems(section, this->changedOperatorItems(copy.operatorItemsRevision));
+            this->describeOperatorItems(section, this->changedOperatorItems(copy));
     }
     if (this->hasServerRecords) {
         Json::Value& section = state["servers"];
         const ServerRecordUpdate update = this->serverRecords.updateFor(copy.serverRecords);
-        section["revision"] = static_cast<Json::Int64>(update.revision);
+        section["revision"] = static_cast<Json::Int64>(update.revision.number());
+        section["era"] = static_cast<Json::Int64>(update.revision.era());
         section["hash"] = static_cast<Json::UInt64>(this->serverRecords.hash());
         section["ageMs"] = static_cast<Json::Int64>(millisecondsBetween(this->serverRecordsReadAt, now));
         section["whole"] = update.isFullListing;
         section["items"] = Json::Value(Json::arrayValue);
         section["removed"] = Json::Value(Json::arrayValue);
         for (const StoreItem& item : update.items)
-            section["items"].append(toJson(item));
+            section["items"].append(toJson(item, update.revision.era()));
         for (const std::string& key : update.removed)
             section["removed"].append(key);
     }
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -100,6 +100,18 @@
     return value;
 }
 
+std::optional<uint64_t> optionalUnsigned(const std::string& text)
+{
+    return text.empty() ? std::nullopt : std::optional(parseUnsigned(text));
+}
+
+// A revision of the store in a query of a peer; earlier releases name no era.
+StoreRevision storeRevision(const std::string& query, const std::string& era, const std::string& number)
+{
+    return { static_cast<int64_t>(parseUnsigned(queryValue(query, era))),
+        static_cast<int64_t>(parseUnsigned(queryValue(query, number))) };
+}
+
 }
 
 // Answers readiness checks of the platform, lookups of callers, and requests of peers for state and metrics.
@@ -328,6 +340,9 @@
     this->metrics.setGauge(
         "wagtailrack_messages_refused_for_size", "", static_cast<double>(this->requestBudget.refusedMessageCount()));
     this->metrics.setGauge("wagtailrack_log_lines_dropped", "", static_cast<double>(this->log.droppedLineCount()));
+    this->metrics.setGauge("wagtailrack_store_era", "", static_cast<double>(this->clusterState.storeEra()));
+    this->metrics.setGauge("wagtailrack_store_recovering", "", this->clusterState.isStoreRecovering() ? 1 : 0);
+    this->metrics.setGauge("wagtailrack_servers_held", "", static_cast<double>(this->fleet.heldServerCount()));
     this->metrics.setGauge(
         "wagtailrack_quarantined_requests", "", static_cast<double>(this->crashQuarantine.quarantinedCount()));
     return this->metrics.render();
@@ -386,20 +401,26 @@
         const std::string operatorRevision = queryValue(query, "operatorRevision");
         const std::string serversHash = queryValue(query, "serversHash");
         const ClusterStateCache::PeerCopy copy { parseUnsigned(queryValue(query, "operator")),
-            operatorRevision.empty() ? -1 : static_cast<int64_t>(parseUnsigned(operatorRevision)),
-            { static_cast<int64_t>(parseUnsigned(queryValue(query, "servers"))),
-                serversHash.empty() ? std::nullopt : std::optional(parseUnsigned(serversHash)) } };
+            operatorRevision.empty() ? StoreRevision::none() : storeRevision(query, "operatorEra", "operatorRevision"),
+            { storeRevision(query, "serversEra", "servers"),
+                serversHash.empty() ? std::nullopt : std::optional(parseUnsigned(serversHash)) },
+            optionalUnsigned(queryValue(query, "configuration")),
+            static_cast<int64_t>(parseUnsigned(queryValue(query, "recovery"))), queryValue(query, "from") };
+        this->clusterState.notePeerCopy(copy);
         HttpResponse response = makeResponse(http::status::ok, this->clusterState.encodeStateForPeer(copy));
         response.set(peerCallHeader, headerValue(request.base(), peerCallHeader));
         return response;
     }
     if (path == "/operator-items") {
-        const auto since = static_cast<int64_t>(parseUnsigned(queryValue(query, "since")));
-        std::string items = this->clusterState.encodeOperatorItemsForPeer(since);
+        ClusterStateCache::PeerCopy copy;
+        copy.operatorItemsRevision = storeRevision(query, "sinceEra", "since");
+        copy.configurationVersion = optionalUnsigned(queryValue(query, "configuration"));
+        std::string items = this->clusterState.encodeOperatorItemsForPeer(copy);
         const http::status status = items.empty() ? http::status::service_unavailable : http::status::ok;
         HttpResponse response = makeResponse(status, std::move(items));
         response.set(http::field::content_encoding, "deflate");
-        response.set(operatorItemsRevisionHeader, std::to_string(this->clusterState.configurationRevision()));
+        response.set(operatorItemsRevisionHeader, std::to_string(this->clusterState.configurationRevision().number()));
+        response.set(operatorItemsEraHeader, std::to_string(this->clusterState.configurationRevision().era()));
         response.set(operatorItemsAgeHeader, std::to_string(this->clusterState.configurationAgeMs()));
         response.set(peerCallHeader, headerValue(request.base(), peerCallHeader));
         return response;
--- a/src/edge/src/QuarantineExchange.cpp
+++ b/src/edge/src/QuarantineExchange.cpp
@@ -130,7 +130,7 @@
 asio::awaitable<void> QuarantineExchange::write(RequestFingerprint request, StoredEntry entry)
 {
     const int64_t ttlMs = std::chrono::duration_cast<Milliseconds>(CrashQuarantine::retentionTime).count();
-    Result<int64_t> lease = co_await this->store.grantLease(ttlMs);
+    Result<StoreLease> lease = co_await this->store.grantLease(ttlMs);
     Status written = lease ? success() : Status(lease.error());
     const std::string key = this->codec.layout().quarantinePrefix + toString(request);
     const std::string value = this->encode(entry);
@@ -151,12 +151,12 @@
         const bool isStored = known != this->stored.end() && !known->second.isCleared
             && entry.lastRequestAt - known->second.lastRequestAt < refreshTime;
         if (entry.isQuarantined() && !isStored)
-            missing[entry.request] = { false, entry.beganAt, entry.lastRequestAt };
+            missing[entry.request] = { false, entry.beganAt, entry.lastRequestAt, {} };
     }
     for (const auto& [request, clearedAt] : this->quarantine.clearedRequests()) {
         const auto known = this->stored.find(request);
         if (known != this->stored.end() && !known->second.isCleared && known->second.beganAt <= clearedAt)
-            missing[request] = { true, clearedAt, clearedAt };
+            missing[request] = { true, clearedAt, clearedAt, {} };
     }
     for (const auto& [request, entry] : missing)
         co_await this->write(request, entry);
--- a/src/edge/tests/BackendFleetTest.cpp
+++ b/src/edge/tests/BackendFleetTest.cpp
@@ -134,3 +134,82 @@
     CHECK_TRUE(this->onlyServer().avoidUntil > this->clock.now());
     LONGS_EQUAL(0, this->onlyServer().inFlight);
 }
+
+// Guards against requests to a server that has left, because the store has returned from a copy in which it was ready.
+TEST(BackendFleet, serverThatWasDrainingStaysOutWhenAnOlderCopySaysReady)
+{
+    ServerRecord draining = record("s1");
+    draining.state = version::ServerState::Draining;
+    this->applyRecords({ draining });
+    this->applyRecords({});
+    this->fleet.holdDepartedServers(this->clock.now() + Milliseconds(2200));
+    this->applyRecords({ record("s1") });
+    CHECK_TRUE(this->fleet.servers("prices").empty());
+    LONGS_EQUAL(1, this->fleet.heldServerCount());
+    // It never returns; its record may be there until its lease ends.
+    this->clock.advance(Milliseconds(2300));
+    this->fleet.removeExpiredServers();
+    CHECK_TRUE(this->fleet.servers("prices").empty());
+}
+
+// Guards against the same with a server whose record was removed, and against losing it for good: it may be running.
+TEST(BackendFleet, serverThatWasMissingIsUsedAfterTheRecovery)
+{
+    this->applyRecords({ record("s1") });
+    this->applyRecords({});
+    this->fleet.holdDepartedServers(this->clock.now() + Milliseconds(2200));
+    this->applyRecords({ record("s1") });
+    this->clock.advance(Milliseconds(2100));
+    this->fleet.removeExpiredServers();
+    CHECK_TRUE(this->fleet.servers("prices").empty());
+    this->clock.advance(Milliseconds(200));
+    this->fleet.removeExpiredServers();
+    CHECK_TRUE(this->fleet.isUsable(this->onlyServer()));
+    LONGS_EQUAL(0, this->fleet.heldServerCount());
+}
+
+// Guards against an older copy that replaces a restarted server by its former process.
+TEST(BackendFleet, formerLifetimeDoesNotReplaceTheRunningOne)
+{
+    ServerRecord former = record("s1");
+    former.startedAtMs = 5;
+    ServerRecord running = record("s1");
+    running.startedAtMs = 9;
+    this->applyRecords({ former });
+    this->applyRecords({ running });
+    this->fleet.holdDepartedServers(this->clock.now() + Milliseconds(2200));
+    this->applyRecords({ former });
+    LONGS_EQUAL(9, this->onlyServer().record.startedAtMs);
+    CHECK_TRUE(this->fleet.isUsable(this->onlyServer()));
+}
+
+// Guards against a server that is kept out although it left and came back in the new era, or with a store that has no
+// eras.
+TEST(BackendFleet, departuresAfterTheRollbackAreNotHeld)
+{
+    this->applyRecords({ record("s1") });
+    this->applyRecords({});
+    this->applyRecords({ record("s1") });
+    CHECK_TRUE(this->fleet.isUsable(this->onlyServer()));
+    this->fleet.holdDepartedServers(this->clock.now() + Milliseconds(2200));
+    this->clock.advance(Milliseconds(100));
+    this->applyRecords({});
+    this->applyRecords({ record("s1") });
+    CHECK_TRUE(this->fleet.isUsable(this->onlyServer()));
+}
+
+// Guards against an instance that started from the older copy and uses a server which its peers know to have left.
+TEST(BackendFleet, departuresThatAPeerHasSeenAreHeld)
+{
+    this->applyRecords({ record("s1"), record("s2"), record("s3") });
+    this->fleet.holdDepartedServers(
+        { { { "s1", 0 }, true }, { { "s2", 0 }, false } }, this->clock.now() + Milliseconds(1000));
+    size_t usableCount = 0;
+    for (const BackendServerPointer& server : this->fleet.servers("prices"))
+        usableCount += this->fleet.isUsable(*server) ? 1 : 0;
+    LONGS_EQUAL(1, usableCount);
+    LONGS_EQUAL(2, this->fleet.heldDepartures().size());
+    this->clock.advance(Milliseconds(1100));
+    this->fleet.removeExpiredServers();
+    LONGS_EQUAL(3, this->fleet.servers("prices").size());
+}
--- a/src/edge/tests/ServerRecordTableTest.cpp
+++ b/src/edge/tests/ServerRecordTableTest.cpp
@@ -35,7 +35,10 @@
 // The store as a list of items, with a revision for each change.
 class FakeStore {
 public:
-    void put(const std::string& key, const std::string& value) { this->items[key] = { key, value, ++this->revision }; }
+    void put(const std::string& key, const std::string& value)
+    {
+        this->items[key] = { key, value, { this->era, ++this->revision } };
+    }
     void remove(const std::string& key)
     {
         ++this->revision;
@@ -46,11 +49,22 @@
         ServerRecordUpdate listing;
         for (const auto& [key, item] : this->items)
             listing.items.push_back(item);
-        listing.revision = this->revision;
+        listing.revision = { this->era, this->revision };
         return listing;
     }
 
+    // Returns to the state `copy`, in a new era.
+    void rollBackTo(const FakeStore& copy)
+    {
+        const int64_t nextEra = this->era + 1;
+        *this = copy;
+        this->era = nextEra;
+        for (auto& [key, item] : this->items)
+            item.modificationRevision = { nextEra, item.modificationRevision.number() };
+    }
+
     std::map<std::string, StoreItem> items;
+    int64_t era = 0;
     int64_t revision = 0;
 };
 
@@ -165,13 +179,15 @@
 }
 
 // Guards against copies that differ from the table they polled, after any order of listings, polls and changes: two
-// readers, copies that read the store themselves, records that are added, removed, damaged and repaired, and restarts.
+// readers, copies that read the store themselves, records that are added, removed, damaged and repaired, restarts, and
+// rollbacks of the store.
 TEST(ServerRecordTable, polledCopiesEqualTheirSource)
 {
     for (unsigned seed = 1; seed <= 300; ++seed) {
         std::mt19937 random(seed);
         const auto draw = [&random](unsigned count) { return random() % count; };
         FakeStore changingStore;
+        FakeStore earlier;
         std::array<std::unique_ptr<ServerRecordTable>, 4> tables;
         for (std::unique_ptr<ServerRecordTable>& table : tables)
             table = std::make_unique<ServerRecordTable>(makeTable());
@@ -179,7 +195,7 @@
             const std::string key = "s" + std::to_string(draw(6));
             std::unique_ptr<ServerRecordTable>& table = tables[draw(4)];
             const ServerRecordTable& source = *tables[draw(4)];
-            switch (draw(8)) {
+            switch (draw(9)) {
             case 0:
                 changingStore.remove(key);
                 break;
@@ -193,6 +209,12 @@
                 if (draw(20) == 0)
                     table = std::make_unique<ServerRecordTable>(makeTable());
                 break;
+            case 4:
+                if (draw(4) == 0)
+                    changingStore.rollBackTo(earlier);
+                else if (draw(4) == 0)
+                    earlier = changingStore;
+                break;
             default:
                 if (table.get() == &source || source.revision() < table->revision())
                     break;
@@ -202,3 +224,42 @@
         }
     }
 }
+
+// Guards against a copy that keeps what a rollback of the store has lost, because the revisions are lower than before.
+TEST(ServerRecordTable, copyOfAnEarlierEraIsReplacedDespiteItsHigherRevision)
+{
+    ServerRecordTable reader = makeTable();
+    ServerRecordTable copy = makeTable();
+    this->store.put("s1", "prices");
+    const FakeStore earlier = this->store;
+    this->store.put("s2", "prices");
+    this->store.put("s3", "prices");
+    reader.apply(this->store.list());
+    copy.apply(this->store.list());
+    this->store.rollBackTo(earlier);
+    this->store.put("s4", "prices");
+    reader.apply(this->store.list());
+    CHECK_TRUE(reader.revision() > copy.revision());
+    CHECK_TRUE(reader.revision().number() < copy.revision().number());
+    poll(copy, reader);
+    checkEqual(copy, reader);
+}
+
+// Guards against changes that are sent to a peer of an earlier release, which tells no hash, because its revision has
+// been given out again in the new era for other records.
+TEST(ServerRecordTable, equalRevisionsOfTwoErasAreNotTheSameVersion)
+{
+    ServerRecordTable reader = makeTable();
+    this->store.put("s1", "prices");
+    const FakeStore earlier = this->store;
+    this->store.put("s2", "prices");
+    reader.apply(this->store.list());
+    const StoreRevision revision = reader.revision();
+    CHECK_FALSE(reader.updateFor({ revision, std::nullopt }).isFullListing);
+    this->store.rollBackTo(earlier);
+    this->store.put("s3", "prices");
+    ServerRecordTable restarted = makeTable();
+    restarted.apply(this->store.list());
+    LONGS_EQUAL(revision.number(), restarted.revision().number());
+    CHECK_TRUE(restarted.updateFor({ revision, std::nullopt }).isFullListing);
+}
