--- a/src/edge/tests/UsageExchangeTest.cpp
+++ b/src/edge/tests/UsageExchangeTest.cpp
@@ -4,7 +4,6 @@
 #include <CppUTest/TestHarness.h>
 
 #include <cmath>
-#include <cstdio>
 
 using namespace wagtailrack;
 using namespace wagtailrack::edge;
@@ -52,10 +51,6 @@
 
     void checkBound(const UsageFleet& fleet) const
     {
-        std::printf("[bound %.0f most %zu asked %lld share %.3f wait %.0f ms datagrams %llu] ", fleet.bound(),
-            fleet.mostInWindow, static_cast<long long>(fleet.asked), fleet.servedShareOfLimit(),
-            static_cast<double>(fleet.waitedMs) / std::max<double>(1, double(fleet.served)),
-            static_cast<unsigned long long>(fleet.datagramCount));
         CHECK_TEXT(static_cast<double>(fleet.mostInWindow) <= fleet.bound(), describeSeed(this->seed).c_str());
     }
 
--- a/src/edge/tests/UsageSimulation.h
+++ b/src/edge/tests/UsageSimulation.h
@@ -140,7 +140,6 @@
         this->countedSince = this->clock.now();
         this->asked = 0;
         this->served = 0;
-        this->waitedMs = 0;
         this->mostInWindow = 0;
     }
 
@@ -164,9 +163,7 @@
     int64_t extraDelayMs = 0;
     int64_t asked = 0;
     int64_t served = 0;
-    int64_t waitedMs = 0;
     size_t mostInWindow = 0;
-    uint64_t datagramCount = 0;
 
 private:
     struct Delivery {
@@ -184,7 +181,6 @@
     {
         for (UsageExchange::Datagram& datagram : this->instances[index]->exchange.collectDueDatagrams()) {
             const size_t target = datagram.target - 1;
-            ++this->datagramCount;
             if (std::bernoulli_distribution(this->lossProbability)(this->random))
                 continue;
             int64_t delayMs = this->regionOf(index) == this->regionOf(target) ? 2 : 55;
@@ -250,10 +246,8 @@
     void recordServed(SteadyTime arrivedAt)
     {
         const SteadyTime now = this->clock.now();
-        if (arrivedAt >= this->countedSince) {
+        if (arrivedAt >= this->countedSince)
             ++this->served;
-            this->waitedMs += std::chrono::duration_cast<Milliseconds>(now - arrivedAt).count();
-        }
         this->recentlyServed.push_back(now);
         while (now - this->recentlyServed.front() >= Milliseconds(this->bounds.usageWindowMs))
             this->recentlyServed.pop_front();
