RegionShares: objects of a region with too few servers run in other regions

Cause: single requests left a full region, while no other region had their objects in a cache. An uncached execution elsewhere scored below a cached one with a long queue, so objects stayed at home until their requests were refused.

Placement prefers the top-ranked server of the object's region and counts the first execution there like a later one. Status tables carry the requests in flight by service and region and the permille of refused requests; reports and summaries the number of refused requests.

--- a/bench/src/Benchmark.h
+++ b/bench/src/Benchmark.h
@@ -19,6 +19,7 @@
 void runExperiment();
 void runConfiguration();
 void runMembership();
+void runPlacement();
 
 // Seconds that `work` takes.
 template <typename Work> double secondsOf(Work work)
--- a/bench/src/main.cpp
+++ b/bench/src/main.cpp
@@ -14,6 +14,7 @@
     { "experiment", "three strategies on six failure domains, decisions only", &runExperiment },
     { "configuration", "decoding and route look-ups at different numbers of routes; base64", &runConfiguration },
     { "membership", "gossip of instances: which of them are taken for alive, and its cost", &runMembership },
+    { "placement", "choice of a server among 102 for one request", &runPlacement },
 };
 
 int main(int argumentCount, char** arguments)
--- a/src/edge/include/wagtailrack/edge/BackendFleet.h
+++ b/src/edge/include/wagtailrack/edge/BackendFleet.h
@@ -116,6 +116,8 @@
 
     // All servers of the service, including those that are not usable.
     const std::vector<BackendServerPointer>& servers(const std::string& service) const;
+    // Null if there is no server with this key.
+    const BackendServer* findByKey(ServerKey key) const;
     bool isUsable(const BackendServer& server) const;
     size_t size() const noexcept { return this->byId.size(); }
 
--- a/src/edge/include/wagtailrack/edge/EdgeNode.h
+++ b/src/edge/include/wagtailrack/edge/EdgeNode.h
@@ -88,6 +88,7 @@
     CrashDetector crashDetector;
     CrashQuarantine crashQuarantine;
     ShiftLimiter shiftLimiter;
+    RegionShares regionShares;
     LoadExchange loadExchange;
     // Messages of callers and servers, and responses of peers: neither can take the memory of the other.
     TransferBudget requestBudget;
--- a/src/edge/include/wagtailrack/edge/LoadExchange.h
+++ b/src/edge/include/wagtailrack/edge/LoadExchange.h
@@ -5,6 +5,7 @@
 #include <wagtailrack/edge/InstanceMembership.h>
 #include <wagtailrack/edge/LoadHub.h>
 #include <wagtailrack/edge/LoadMessages.h>
+#include <wagtailrack/edge/RegionShares.h>
 #include <wagtailrack/edge/ShiftLimiter.h>
 
 #include <cstdint>
@@ -33,7 +34,7 @@
     };
 
     LoadExchange(const Clock& clock, const EdgeSettings& settings, BackendFleet& fleet, ShiftLimiter& shiftLimiter,
-        const InstanceMembership& membership);
+        const InstanceMembership& membership, RegionShares* regionShares = nullptr);
 
     // Returns the datagrams that are due. Must be called often; most calls return none.
     std::vector<Datagram> collectDueDatagrams();
@@ -56,6 +57,8 @@
     BackendFleet& fleet;
     ShiftLimiter& shiftLimiter;
     const InstanceMembership& membership;
+    // Null: the demand of the region is not used.
+    RegionShares* regionShares;
     LoadHub hub;
     SteadyTime nextReportAt;
     SteadyTime nextSummaryAt;
--- a/src/edge/include/wagtailrack/edge/LoadHub.h
+++ b/src/edge/include/wagtailrack/edge/LoadHub.h
@@ -26,6 +26,9 @@
     // Tables for the instances of this failure domain.
     std::vector<ServerStatusTable> statusTables();
 
+    // Requests that the instances of this region have in flight, by server.
+    std::map<ServerKey, uint32_t> ownRegionInFlight() const;
+
     // Removes senders that stopped sending, cached objects that were not used and server health without new attempts.
     void removeExpired();
 
@@ -35,6 +38,7 @@
     struct SenderState {
         InFlightCounts inFlight;
         SteadyTime receivedAt;
+        bool isFromOwnRegion = true;
     };
 
     // Health of a server, derived from the attempts of this domain's instances.
@@ -65,7 +69,7 @@
     std::vector<CachedObject> collectDueCachedObjects(
         PublishState CachedObjectState::*receivers, Milliseconds repeatInterval, bool isOwnDomainOnly);
     InFlightCounts sumReportedInFlight() const;
-    void recordSends(uint32_t inRegion, uint32_t crossRegion);
+    void recordSends(uint32_t inRegion, uint32_t crossRegion, uint32_t refused);
 
     const Clock& clock;
     std::map<uint32_t, SenderState> receivedReports;
@@ -78,6 +82,9 @@
     DecayingRequestCounts baselineSends;
     uint32_t unpublishedInRegionRequests = 0;
     uint32_t unpublishedCrossRegionRequests = 0;
+    uint32_t unpublishedRefusedRequests = 0;
+    // Requests of the region that were sent and that were refused.
+    DecayingRequestCounts refusals;
 };
 
 }
--- a/src/edge/include/wagtailrack/edge/LoadMessages.h
+++ b/src/edge/include/wagtailrack/edge/LoadMessages.h
@@ -53,9 +53,11 @@
     // Requests sent to servers of the own region and of other regions since the last report.
     uint32_t inRegionRequests = 0;
     uint32_t crossRegionRequests = 0;
+    // Requests refused for lack of room since the last report. Missing in the reports of older versions.
+    uint32_t refusedRequests = 0;
 
     friend bool operator==(const InstanceLoadReport&, const InstanceLoadReport&) = default;
-    MSGPACK_DEFINE(servers, cachedObjects, inRegionRequests, crossRegionRequests)
+    MSGPACK_DEFINE(servers, cachedObjects, inRegionRequests, crossRegionRequests, refusedRequests)
 };
 
 struct ServerInFlightCount {
@@ -77,9 +79,12 @@
     // Requests sent to servers of the own region and of other regions since the last summary.
     uint32_t inRegionRequests = 0;
     uint32_t crossRegionRequests = 0;
+    // As in InstanceLoadReport.
+    uint32_t refusedRequests = 0;
 
     friend bool operator==(const DomainLoadSummary&, const DomainLoadSummary&) = default;
-    MSGPACK_DEFINE(firstServer, lastServer, servers, cachedObjects, inRegionRequests, crossRegionRequests)
+    MSGPACK_DEFINE(
+        firstServer, lastServer, servers, cachedObjects, inRegionRequests, crossRegionRequests, refusedRequests)
 };
 
 // Load and health of a server, as aggregated by a hub.
@@ -97,6 +102,16 @@
     MSGPACK_DEFINE(server, totalInFlight, failureRatePercent, latencyRatioPercent, isUnreachable)
 };
 
+// Requests that all instances of a region have in flight on the servers of one service in one region.
+struct RegionDemand {
+    // Lower 32 bits of the hash of both names.
+    uint32_t serviceAndRegion = 0;
+    uint32_t inFlight = 0;
+
+    friend bool operator==(const RegionDemand&, const RegionDemand&) = default;
+    MSGPACK_DEFINE(serviceAndRegion, inFlight)
+};
+
 // Sent by a hub to the instances of its failure domain. Servers with keys from `firstServer` to `lastServer` that are
 // not listed have no requests in flight and no new health information.
 struct ServerStatusTable {
@@ -110,10 +125,14 @@
     uint32_t baselineCrossRegionPermille = 0;
     // The instances of the region have only just begun to send requests, so that the baseline is not meaningful yet.
     bool isRegionStarting = false;
+    // In the first table of those sent at a time only. Missing in the tables of older versions.
+    std::vector<RegionDemand> regionDemand {};
+    // Permille of the region's requests that were refused over about the last seconds.
+    uint32_t refusedPermille = 0;
 
     friend bool operator==(const ServerStatusTable&, const ServerStatusTable&) = default;
     MSGPACK_DEFINE(firstServer, lastServer, servers, cachedObjects, recentCrossRegionPermille,
-        baselineCrossRegionPermille, isRegionStarting)
+        baselineCrossRegionPermille, isRegionStarting, regionDemand, refusedPermille)
 };
 
 // First bytes of every load datagram, followed by the kind character of the message.
--- a/src/edge/include/wagtailrack/edge/Placement.h
+++ b/src/edge/include/wagtailrack/edge/Placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <wagtailrack/edge/BackendFleet.h>
+#include <wagtailrack/edge/RegionShares.h>
 #include <wagtailrack/edge/RoutingTable.h>
 #include <wagtailrack/edge/ShiftLimiter.h>
 
@@ -65,6 +66,8 @@
     // Whether an object of which nothing is known is probably in the cache of its preferred server: this process
     // replaces one that sent it there, and has not heard yet what other instances know.
     bool isPreferredServerWarm = false;
+    // Null: all objects belong to the own region.
+    RegionShares* regionShares = nullptr;
 };
 
 // Identifies the object of a request: a hash of the route's name and the affinity key.
@@ -94,8 +97,9 @@
 bool shouldSend(const PlacementChoice& choice, bool isReturning = false);
 
 // Chooses the server with the highest score. Rendezvous hashing gives each object its own order of servers, the same on
-// every instance; the first server of the own region is the object's preferred server. Returns nothing when no server
-// may be used or the deadline has passed. Takes a token if the chosen server is in its cold start.
+// every instance; the first server of the object's region is its preferred server. That is the own region, unless it
+// has less room than its callers need (RegionShares). Returns nothing when no server may be used or the deadline has
+// passed. Takes a token if the chosen server is in its cold start.
 std::optional<PlacementChoice> chooseServer(
     BackendFleet& fleet, const PlacementRequest& request, const ProcessingTimeEstimate& processingTime, SteadyTime now);
 
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -31,6 +31,7 @@
     ClusterStateCache& clusterState;
     BackendFleet& fleet;
     ShiftLimiter& shiftLimiter;
+    RegionShares& regionShares;
     InstanceMembership& membership;
     HttpConnectionPool& serverConnections;
     CrashDetector& crashDetector;
--- a/src/edge/include/wagtailrack/edge/ShiftLimiter.h
+++ b/src/edge/include/wagtailrack/edge/ShiftLimiter.h
@@ -54,6 +54,8 @@
     // Sets the ratios over all instances of the region, as computed by the hub.
     void setCrossRegionRatios(const CrossRegionRatios& ratios);
     void recordSend(bool isCrossRegion);
+    // Records that a request was refused because no server had room for it.
+    void recordRefusal() { ++this->unreportedSends.refusedRequests; }
     // Records the number of slots of the service's usable servers in the own region.
     void recordOwnRegionSlots(const std::string& service, double slots);
 
@@ -63,10 +65,14 @@
     // there.
     bool isReturningTooFast() const;
 
-    // Requests sent since the last call of collectSendCounts(), for the report to the hub.
+    // Returns whether the region's requests began only recently, according to the hub.
+    bool isStarting() const { return this->currentCrossRegionRatios().isStarting; }
+
+    // Requests sent and refused since the last call of collectSendCounts(), for the report to the hub.
     struct SendCounts {
         uint32_t inRegionRequests = 0;
         uint32_t crossRegionRequests = 0;
+        uint32_t refusedRequests = 0;
     };
     SendCounts collectSendCounts();
 
--- a/src/edge/src/BackendFleet.cpp
+++ b/src/edge/src/BackendFleet.cpp
@@ -132,6 +132,12 @@
     return found == this->byService.end() ? none : found->second;
 }
 
+const BackendServer* BackendFleet::findByKey(ServerKey key) const
+{
+    const auto found = this->byKey.find(key);
+    return found == this->byKey.end() ? nullptr : found->second.get();
+}
+
 bool BackendFleet::isUsable(const BackendServer& server) const
 {
     return !server.isLeaving && !this->evacuatedDomains.contains(server.record.failureDomain);
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -138,7 +138,8 @@
     , crashDetector(this->clock)
     , crashQuarantine(this->clock)
     , shiftLimiter(this->clock)
-    , loadExchange(this->clock, this->settings, this->fleet, this->shiftLimiter, this->membership)
+    , regionShares(this->clock, this->settings.region)
+    , loadExchange(this->clock, this->settings, this->fleet, this->shiftLimiter, this->membership, &this->regionShares)
     , requestBudget(transferLimitsFor(this->settings.memoryBytes, this->settings.linkMegabitsPerSecond * 1e6))
     , peerBudget(internalTransferLimitsFor(this->settings.memoryBytes))
     , serverConnections(context, serverIdleTimeout, serverTcpUserTimeoutMs, this->requestBudget)
@@ -147,8 +148,8 @@
     , clusterState(context, this->clock, this->settings, store, codec, this->fleet, this->membership,
           this->peerConnections, this->metrics, this->log)
     , forwarder({ context, this->clock, this->settings, this->headers, this->clusterState, this->fleet,
-          this->shiftLimiter, this->membership, this->serverConnections, this->crashDetector, this->crashQuarantine,
-          this->metrics, this->log })
+          this->shiftLimiter, this->regionShares, this->membership, this->serverConnections, this->crashDetector,
+          this->crashQuarantine, this->metrics, this->log })
     , localHandler(std::make_unique<LocalHandler>(*this))
     , callerListener(context, this->forwarder, this->requestBudget)
     , lookupListener(context, *this->localHandler, this->localRequestBudget)
@@ -180,6 +181,11 @@
             { { "request", toString(entry.request) }, { "crashes", static_cast<uint64_t>(entry.crashes) },
                 { "source", toString(source) } });
     });
+    this->regionShares.setChangeHook([this](const RegionShares::Change& change) {
+        this->log.write(LogCategory::ProcessState, "region-shares",
+            { { "service", change.service }, { "own_percent", std::lround(100 * change.ownShare) },
+                { "needed_slots", std::lround(change.demand) }, { "own_slots", std::lround(change.ownSlots) } });
+    });
 }
 
 Status EdgeNode::openDatagramSocket()
@@ -330,6 +336,10 @@
     this->metrics.setGauge("wagtailrack_log_lines_dropped", "", static_cast<double>(this->log.droppedLineCount()));
     this->metrics.setGauge(
         "wagtailrack_quarantined_requests", "", static_cast<double>(this->crashQuarantine.quarantinedCount()));
+    this->regionShares.forEachShare([this](const std::string& service, const RegionShare& share) {
+        this->metrics.setGauge("wagtailrack_region_share_ratio",
+            "service=\"" + service + "\",region=\"" + share.region + "\"", share.share);
+    });
     return this->metrics.render();
 }
 
--- a/src/edge/src/LoadExchange.cpp
+++ b/src/edge/src/LoadExchange.cpp
@@ -25,12 +25,13 @@
 }
 
 LoadExchange::LoadExchange(const Clock& clock, const EdgeSettings& settings, BackendFleet& fleet,
-    ShiftLimiter& shiftLimiter, const InstanceMembership& membership)
+    ShiftLimiter& shiftLimiter, const InstanceMembership& membership, RegionShares* regionShares)
     : clock(clock)
     , settings(settings)
     , fleet(fleet)
     , shiftLimiter(shiftLimiter)
     , membership(membership)
+    , regionShares(regionShares)
     , hub(clock)
 {
 }
@@ -79,6 +80,7 @@
     const ShiftLimiter::SendCounts sendCounts = this->shiftLimiter.collectSendCounts();
     report.inRegionRequests = sendCounts.inRegionRequests;
     report.crossRegionRequests = sendCounts.crossRegionRequests;
+    report.refusedRequests = sendCounts.refusedRequests;
     const uint32_t target = this->chooseHub();
     const uint32_t ownAddress = this->membership.ownHeartbeat().address;
     if (target == ownAddress) {
@@ -91,7 +93,9 @@
 
 void LoadExchange::queueStatusTables(std::vector<Datagram>& due)
 {
-    for (const ServerStatusTable& table : this->hub.statusTables()) {
+    std::vector<ServerStatusTable> tables = this->hub.statusTables();
+    tables.front().regionDemand = sumRegionDemand(this->fleet, this->hub.ownRegionInFlight());
+    for (const ServerStatusTable& table : tables) {
         const std::string bytes = encodeLoadMessage(table);
         for (const auto& [address, reportedAt] : this->reportingInstances) {
             if (address == this->membership.ownHeartbeat().address)
@@ -153,6 +157,8 @@
     this->fleet.applyStatusTable(table);
     this->shiftLimiter.setCrossRegionRatios({ table.recentCrossRegionPermille / 1000.0,
         table.baselineCrossRegionPermille / 1000.0, table.isRegionStarting });
+    if (this->regionShares)
+        this->regionShares->setDemand(table.regionDemand, table.refusedPermille / 1000.0);
     this->hubAnsweredAt = this->clock.now();
 }
 
--- a/src/edge/src/LoadHub.cpp
+++ b/src/edge/src/LoadHub.cpp
@@ -29,6 +29,7 @@
 constexpr Milliseconds instanceRepeatInterval(5000);
 constexpr Milliseconds ownRegionRepeatInterval(6000);
 constexpr Milliseconds otherRegionRepeatInterval(9000);
+constexpr Milliseconds refusalDecayTime(1500);
 // These limits keep a message below the usual packet size.
 constexpr size_t maximumServersPerMessage = 90;
 constexpr size_t maximumObjectsPerMessage = 80;
@@ -79,14 +80,16 @@
     : clock(clock)
     , recentSends(CrossRegionRatios::recentDecayTime)
     , baselineSends(CrossRegionRatios::baselineDecayTime)
+    , refusals(refusalDecayTime)
 {
 }
 
-void LoadHub::recordSends(uint32_t inRegion, uint32_t crossRegion)
+void LoadHub::recordSends(uint32_t inRegion, uint32_t crossRegion, uint32_t refused)
 {
     const SteadyTime now = this->clock.now();
     this->recentSends.add(inRegion, crossRegion, now);
     this->baselineSends.add(inRegion, crossRegion, now);
+    this->refusals.add(inRegion + crossRegion, refused, now);
 }
 
 void LoadHub::recordActivity(const ServerActivity& activity)
@@ -134,15 +137,17 @@
     }
     for (const CachedObject& object : report.cachedObjects)
         this->recordCachedObject(object, true);
-    this->recordSends(report.inRegionRequests, report.crossRegionRequests);
+    this->recordSends(report.inRegionRequests, report.crossRegionRequests, report.refusedRequests);
     this->unpublishedInRegionRequests += report.inRegionRequests;
     this->unpublishedCrossRegionRequests += report.crossRegionRequests;
+    this->unpublishedRefusedRequests += report.refusedRequests;
 }
 
 void LoadHub::acceptDomainSummary(uint32_t sender, const DomainLoadSummary& summary, bool isFromOwnRegion)
 {
     SenderState& state = this->receivedSummaries[sender];
     state.receivedAt = this->clock.now();
+    state.isFromOwnRegion = isFromOwnRegion;
     std::erase_if(state.inFlight, [&summary](const auto& entry) {
         return entry.first >= summary.firstServer && entry.first <= summary.lastServer;
     });
@@ -151,7 +156,7 @@
     for (const CachedObject& object : summary.cachedObjects)
         this->recordCachedObject(object, false);
     if (isFromOwnRegion)
-        this->recordSends(summary.inRegionRequests, summary.crossRegionRequests);
+        this->recordSends(summary.inRegionRequests, summary.crossRegionRequests, summary.refusedRequests);
 }
 
 LoadHub::InFlightCounts LoadHub::sumReportedInFlight() const
@@ -164,6 +169,18 @@
     return sum;
 }
 
+std::map<ServerKey, uint32_t> LoadHub::ownRegionInFlight() const
+{
+    InFlightCounts sum = this->sumReportedInFlight();
+    for (const auto& [sender, summary] : this->receivedSummaries) {
+        if (!summary.isFromOwnRegion)
+            continue;
+        for (const auto& [server, count] : summary.inFlight)
+            sum[server] += count;
+    }
+    return sum;
+}
+
 std::vector<CachedObject> LoadHub::collectDueCachedObjects(
     PublishState CachedObjectState::*receivers, Milliseconds repeatInterval, bool isOwnDomainOnly)
 {
@@ -198,6 +215,7 @@
     if (isForOwnRegion) {
         summaries.back().inRegionRequests = std::exchange(this->unpublishedInRegionRequests, 0);
         summaries.back().crossRegionRequests = std::exchange(this->unpublishedCrossRegionRequests, 0);
+        summaries.back().refusedRequests = std::exchange(this->unpublishedRefusedRequests, 0);
     }
     return summaries;
 }
@@ -236,6 +254,7 @@
             = static_cast<uint32_t>(std::lround(1000 * this->recentSends.crossRegionRatio()));
         table.baselineCrossRegionPermille
             = static_cast<uint32_t>(std::lround(1000 * this->baselineSends.crossRegionRatio()));
+        table.refusedPermille = static_cast<uint32_t>(std::lround(1000 * this->refusals.crossRegionRatio()));
         table.isRegionStarting = this->baselineSends.isStarting(now);
     }
     return tables;
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -43,10 +43,10 @@
 constexpr double loadReportDecayWithTotalsMs = 300;
 // The hub sends totals more often than this, so older totals mean that there is no hub.
 constexpr Milliseconds totalLoadValidity(1000);
-// Number of top-ranked servers of an object in the own region and in each other region. The object is sent to further
+// Number of top-ranked servers of an object in its region and in each other region. The object is sent to further
 // servers only when the top-ranked ones are so busy that one more uncached execution costs less than waiting. The
 // penalties apply to servers that do not have the object in their cache.
-constexpr size_t topRankedInOwnRegion = 3;
+constexpr size_t topRankedInObjectRegion = 3;
 constexpr size_t topRankedInOtherRegion = 2;
 constexpr double topRankedUncachedPenalty = 0.03;
 constexpr double lowRankedUncachedPenalty = 0.08;
@@ -131,10 +131,23 @@
     return requestsBeyondSlots / slotsOf(server) * processingMs;
 }
 
+// Returns the region that the object belongs to, among the regions of the servers that may execute the request: the own
+// region unless it has less room than its callers need.
+std::string regionOfObject(const BackendFleet& fleet, const PlacementRequest& request, uint64_t objectHash)
+{
+    if (!request.regionShares || request.affinityKey.empty())
+        return request.ownRegion;
+    const std::vector<RegionShare>& shares = request.regionShares->sharesOf(
+        fleet, request.service.name, request.roundTripsMs, request.shiftLimiter.isStarting());
+    const size_t found = RegionShares::regionOf(
+        objectHash, shares, [&request](const std::string& region) { return isHomeRegion(request.rule, region); });
+    return found == shares.size() ? request.ownRegion : shares[found].region;
+}
+
 // Returns the servers that may execute the request, in the object's rendezvous order. Servers that were recently
 // unreachable are left out unless all of them were.
-std::vector<Candidate> findCandidates(
-    const BackendFleet& fleet, const PlacementRequest& request, uint64_t objectHash, SteadyTime now)
+std::vector<Candidate> findCandidates(const BackendFleet& fleet, const PlacementRequest& request,
+    const std::string& objectRegion, uint64_t objectHash, SteadyTime now)
 {
     std::vector<Candidate> candidates;
     for (const BackendServerPointer& server : fleet.servers(request.service.name)) {
@@ -153,14 +166,15 @@
     for (Candidate& candidate : candidates) {
         const std::string& region = candidate.server->region;
         candidate.isTopRanked
-            = serversByRegion[region]++ < (region == request.ownRegion ? topRankedInOwnRegion : topRankedInOtherRegion);
+            = serversByRegion[region]++ < (region == objectRegion ? topRankedInObjectRegion : topRankedInOtherRegion);
     }
     return candidates;
 }
 
-// Removes the servers of other regions if the shift limiter currently allows no further cross-region requests and the
-// own region has a candidate.
-void limitCandidatesToOwnRegion(std::vector<Candidate>& candidates, const PlacementRequest& request)
+// Removes the servers of other regions than the own and the object's if the shift limiter currently allows no further
+// cross-region requests and the own region has a candidate. The regions of objects change slowly enough by themselves.
+void limitCandidatesToOwnRegion(
+    std::vector<Candidate>& candidates, const PlacementRequest& request, const std::string& objectRegion)
 {
     double slots = 0;
     bool hasOwnRegionCandidate = false;
@@ -172,8 +186,9 @@
     }
     request.shiftLimiter.recordOwnRegionSlots(request.service.name, slots);
     if (hasOwnRegionCandidate && !request.shiftLimiter.canSendCrossRegion(request.service.name))
-        std::erase_if(candidates,
-            [&request](const Candidate& candidate) { return candidate.server->region != request.ownRegion; });
+        std::erase_if(candidates, [&](const Candidate& candidate) {
+            return candidate.server->region != request.ownRegion && candidate.server->region != objectRegion;
+        });
 }
 
 bool hasRecentlyHandled(const BackendServer& server, uint64_t objectHash, SteadyTime now)
@@ -182,8 +197,8 @@
     return object != server.cachedObjects.end() && now - object->second < cachedObjectValidity;
 }
 
-ServiceStatistics computeServiceStatistics(
-    const std::vector<Candidate>& candidates, const std::string& ownRegion, uint64_t objectHash, SteadyTime now)
+ServiceStatistics computeServiceStatistics(const std::vector<Candidate>& candidates, const std::string& ownRegion,
+    const std::string& objectRegion, uint64_t objectHash, SteadyTime now)
 {
     ServiceStatistics statistics;
     std::vector<double> latencyRatios;
@@ -203,7 +218,7 @@
     statistics.medianLatencyRatio = std::max(*median, 1.0);
     for (const auto& [region, regionLoadAndSlots] : loadAndSlots) {
         const double utilisation = regionLoadAndSlots.first / regionLoadAndSlots.second
-            + (region == ownRegion ? 0 : otherRegionReservedRatio);
+            + (region == ownRegion || region == objectRegion ? 0 : otherRegionReservedRatio);
         const double costFraction = (utilisation - costFreeUtilisation) / (fullCostUtilisation - costFreeUtilisation);
         statistics.slotCosts[region] = maximumSlotCost * std::clamp(costFraction, 0.0, 1.0);
     }
@@ -220,8 +235,9 @@
 }
 
 // Estimates the waiting and processing time on the candidate server and computes its score.
-PlacementChoice scoreCandidate(const Candidate& candidate, bool isPreferred, const ServiceStatistics& statistics,
-    const PlacementRequest& request, const ProcessingTimeEstimate& processingTime, uint64_t objectHash, SteadyTime now)
+PlacementChoice scoreCandidate(const Candidate& candidate, bool isPreferred, bool isInObjectRegion,
+    const ServiceStatistics& statistics, const PlacementRequest& request, const ProcessingTimeEstimate& processingTime,
+    uint64_t objectHash, SteadyTime now)
 {
     const BackendServer& server = *candidate.server;
     PlacementChoice choice;
@@ -252,15 +268,21 @@
     const double successProbability = std::min(1.0, (1 - server.failureRate) / (1 - statistics.lowestFailureRate));
     choice.score
         = successProbability * (probabilityInTime + lateAnswerScore * (probabilityBeforeDeadline - probabilityInTime));
-    choice.score -= statistics.slotCosts.at(server.region) * choice.expectedProcessingMs
-        / std::max(processingTime.cachedMs, 1.0);
-    choice.score
-        -= penaltyPerMs * (choice.expectedWaitMs + choice.expectedProcessingMs) + penaltyPerOtherRegionMs * delayMs;
-    if (server.record.failureDomain != request.ownFailureDomain)
+    // The first execution of an object in its region is needed anyway, so that it counts like a later one.
+    const double occupiedMs = isPreferred && isInObjectRegion
+        ? std::min(choice.expectedProcessingMs, processingTime.cachedMs)
+        : choice.expectedProcessingMs;
+    choice.score -= statistics.slotCosts.at(server.region) * occupiedMs / std::max(processingTime.cachedMs, 1.0);
+    choice.score -= penaltyPerMs * (choice.expectedWaitMs + choice.expectedProcessingMs);
+    // The object's region was chosen with its distance in mind.
+    if (!isInObjectRegion)
+        choice.score -= penaltyPerOtherRegionMs * delayMs;
+    if (server.record.failureDomain != request.ownFailureDomain && !isInObjectRegion)
         choice.score -= otherDomainPenalty;
     if (!choice.isObjectCached && !isPreferred)
         choice.score -= candidate.isTopRanked ? topRankedUncachedPenalty : lowRankedUncachedPenalty;
-    if (server.region != request.ownRegion && choice.isObjectCached && request.shiftLimiter.isReturningTooFast())
+    if (server.region != request.ownRegion && (choice.isObjectCached || (isPreferred && isInObjectRegion))
+        && request.shiftLimiter.isReturningTooFast())
         choice.score += returnLimitBonus;
     return choice;
 }
@@ -357,18 +379,27 @@
     if (now >= request.deadline)
         return std::nullopt;
     const uint64_t objectHash = objectHashOf(request.rule, request.affinityKey);
-    std::vector<Candidate> candidates = findCandidates(fleet, request, objectHash, now);
+    const std::string objectRegion = regionOfObject(fleet, request, objectHash);
+    std::vector<Candidate> candidates = findCandidates(fleet, request, objectRegion, objectHash, now);
     if (candidates.empty())
         return std::nullopt;
-    limitCandidatesToOwnRegion(candidates, request);
-    // Most objects are requested in one region only, so the preferred server is the first one of the own region.
-    const auto firstInOwnRegion = std::find_if(candidates.begin(), candidates.end(),
-        [&request](const Candidate& candidate) { return candidate.server->region == request.ownRegion; });
-    Candidate* preferred = firstInOwnRegion == candidates.end() ? &candidates.front() : &*firstInOwnRegion;
-    const ServiceStatistics statistics = computeServiceStatistics(candidates, request.ownRegion, objectHash, now);
+    limitCandidatesToOwnRegion(candidates, request, objectRegion);
+    // The preferred server is the first one of the object's region, or else of the own region, or else of all.
+    const auto firstInRegion = [&candidates](const std::string& region) {
+        return std::find_if(candidates.begin(), candidates.end(),
+            [&region](const Candidate& candidate) { return candidate.server->region == region; });
+    };
+    auto first = firstInRegion(objectRegion);
+    if (first == candidates.end() && objectRegion != request.ownRegion)
+        first = firstInRegion(request.ownRegion);
+    Candidate* preferred = first == candidates.end() ? &candidates.front() : &*first;
+    const bool isObjectElsewhere = objectRegion != request.ownRegion;
+    const ServiceStatistics statistics
+        = computeServiceStatistics(candidates, request.ownRegion, objectRegion, objectHash, now);
     for (Candidate& candidate : candidates)
-        candidate.choice
-            = scoreCandidate(candidate, &candidate == preferred, statistics, request, processingTime, objectHash, now);
+        candidate.choice = scoreCandidate(candidate, &candidate == preferred,
+            isObjectElsewhere && candidate.server->region == objectRegion, statistics, request, processingTime,
+            objectHash, now);
     if (shouldFillPreferredServer(*preferred, candidates, request.affinityKey, now))
         preferred->choice.score += underusedFillBonus;
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -443,12 +443,14 @@
                     && this->dependencies.serverConnections.hasIdleConnection(server.record.address);
             },
             state.exchange->arrivedAt, state.deadline, this->dependencies.shiftLimiter, this->coldServerSenders,
-            state.excludedServers, this->isPreferredServerWarm() };
+            state.excludedServers, this->isPreferredServerWarm(), &this->dependencies.regionShares };
         const SteadyTime now = this->dependencies.clock.now();
         const std::optional<PlacementChoice> choice
             = chooseServer(this->dependencies.fleet, request, this->processingTimeOf(state.rule), now);
         state.lastChoice = choice;
         if (!choice || !shouldSend(*choice, state.isReturning)) {
+            if (state.sendCount == 0)
+                this->dependencies.shiftLimiter.recordRefusal();
             this->finishAfterFailure(state, choice ? "no-time" : "no-server");
             co_return;
         }
--- a/src/edge/tests/ServiceSimulation.h
+++ b/src/edge/tests/ServiceSimulation.h
@@ -10,6 +10,8 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <numbers>
+#include <numeric>
 #include <queue>
 #include <random>
 
@@ -90,11 +92,31 @@
     // Whether the callers of each failure domain request different objects.
     bool hasObjectsPerDomain = false;
     double interRegionRoundTripMs = 40;
+    int64_t targetLatencyMs = 400;
+    // Whether requests to other regions are under way, and in flight for the instance, for the round-trip time.
+    bool hasNetworkDelay = false;
+    // The requests of each failure domain vary by this ratio of their mean, a third of a period apart.
+    double waveAmplitude = 0;
+    double wavePeriodSeconds = 36;
+    // From the first of these seconds until the second, the servers of the failure domain are gone.
+    int lostDomain = -1;
+    int lostFromSecond = -1;
+    int lostToSecond = -1;
+    // From the first of these seconds until the second, nothing passes between the region of the failure domain and
+    // the others.
+    int cutDomain = -1;
+    int cutFromSecond = -1;
+    int cutToSecond = -1;
+    // No load messages are exchanged from the first of these seconds until the second.
+    int silentFromSecond = -1;
+    int silentToSecond = -1;
 };
 
 enum class Policy {
     // chooseServer(), with load and cached objects exchanged between the instances.
     Placement,
+    // The same without region shares.
+    PlacementWithoutShares,
     // chooseServer(), where each instance knows only its own requests.
     PlacementWithoutExchange,
     // The server of the own region that has the fewest requests of this instance in flight.
@@ -104,13 +126,17 @@
 struct Result {
     std::vector<int> requestsBySecond;
     std::vector<int> inTimeBySecond;
+    // The same by region of the callers.
+    std::map<std::string, std::vector<int>> requestsByRegion;
+    std::map<std::string, std::vector<int>> inTimeByRegion;
     // Requests sent in each half second: by region of the callers, half second and region of the server.
     std::map<std::string, std::vector<std::map<std::string, int>>> sendsByRegion;
     // Requests sent to each server, by index.
     std::vector<int> sendsByServer;
 
-    // Largest ratio of a region's requests whose server region changed from one window of 2 s to the next.
-    double largestShift(const std::string& region) const
+    // Largest ratio of a region's requests whose server region changed from one window of 2 s to the next, of the
+    // windows that begin in `fromSecond` or later.
+    double largestShift(const std::string& region, size_t fromSecond = 0) const
     {
         const auto& halfSeconds = this->sendsByRegion.at(region);
         const auto window = [&halfSeconds](size_t from) {
@@ -127,7 +153,7 @@
             return sum;
         };
         double largest = 0;
-        for (size_t from = 0; from + 8 <= halfSeconds.size(); ++from) {
+        for (size_t from = 2 * fromSecond; from + 8 <= halfSeconds.size(); ++from) {
             const std::map<std::string, double> first = window(from);
             double shiftedRatio = 0;
             for (const auto& [target, ratio] : window(from + 4)) {
@@ -150,6 +176,17 @@
         return requestCount > 0 ? static_cast<double>(inTimeCount) / requestCount : 0;
     }
 
+    double inTimeRatioOf(const std::string& region, size_t from, size_t to) const
+    {
+        const std::vector<int>& requests = this->requestsByRegion.at(region);
+        const std::vector<int>& inTime = this->inTimeByRegion.at(region);
+        const auto sum = [from, to](const std::vector<int>& counts) {
+            return std::accumulate(counts.begin() + static_cast<std::ptrdiff_t>(from),
+                counts.begin() + static_cast<std::ptrdiff_t>(std::min(to, counts.size())), 0.0);
+        };
+        return sum(inTime) / std::max(sum(requests), 1.0);
+    }
+
     double inTimeRatio() const { return this->inTimeRatioBetween(0, this->requestsBySecond.size()); }
 };
 
@@ -193,7 +230,8 @@
         , view(clock, heartbeat)
         , fleet(clock, regionOfDomain())
         , shiftLimiter(clock)
-        , exchange(clock, this->settings, this->fleet, this->shiftLimiter, this->view)
+        , regionShares(clock, edgeSettings.region)
+        , exchange(clock, this->settings, this->fleet, this->shiftLimiter, this->view, &this->regionShares)
     {
     }
 
@@ -201,6 +239,7 @@
     InstanceMembership view;
     BackendFleet fleet;
     ShiftLimiter shiftLimiter;
+    RegionShares regionShares;
     LoadExchange exchange;
 };
 
@@ -213,6 +252,11 @@
     {
         this->result.requestsBySecond.resize(static_cast<size_t>(load.seconds));
         this->result.inTimeBySecond.resize(static_cast<size_t>(load.seconds));
+        this->rule.targetLatencyMs = load.targetLatencyMs;
+        for (const std::string& domain : domains()) {
+            this->result.requestsByRegion[regionOfDomain().at(domain)].resize(static_cast<size_t>(load.seconds));
+            this->result.inTimeByRegion[regionOfDomain().at(domain)].resize(static_cast<size_t>(load.seconds));
+        }
         for (const std::string& domain : domains())
             this->roundTripsMs[regionOfDomain().at(domain)] = load.interRegionRoundTripMs;
         std::vector<ServerRecord> all;
@@ -230,8 +274,12 @@
     Result execute()
     {
         this->exchangeHeartbeats();
-        if (this->policy == Policy::Placement)
+        if (this->policy == Policy::Placement || this->policy == Policy::PlacementWithoutShares)
             this->exchangeLoad();
+        for (const int second : { this->workload.lostFromSecond, this->workload.lostToSecond }) {
+            if (second >= 0)
+                this->scheduleAfter(second * 1000.0, [this] { this->publishRecords(); });
+        }
         this->scheduleArrival();
         if (this->workload.restartSecond >= 0)
             this->scheduleAfter(this->workload.restartSecond * 1000.0, [this] { this->restartInstances(); });
@@ -277,11 +325,30 @@
         this->instancesByDomain[domain].push_back(this->instances.back().get());
     }
 
+    bool isBetween(int fromSecond, int toSecond) const
+    {
+        return fromSecond >= 0 && this->nowMs >= fromSecond * 1000.0 && this->nowMs < toSecond * 1000.0;
+    }
+
+    bool isCut(const std::string& left, const std::string& right) const
+    {
+        if (left == right || !this->isBetween(this->workload.cutFromSecond, this->workload.cutToSecond))
+            return false;
+        const std::string cut = regionOfDomain().at(domains()[static_cast<size_t>(this->workload.cutDomain)]);
+        return left == cut || right == cut;
+    }
+
     void publishRecords()
     {
         this->result.sendsByServer.resize(this->records.size());
+        std::vector<ServerRecord> present = this->records;
+        if (this->workload.lostDomain >= 0
+            && this->isBetween(this->workload.lostFromSecond, this->workload.lostToSecond)) {
+            const std::string& lost = domains()[static_cast<size_t>(this->workload.lostDomain)];
+            std::erase_if(present, [&lost](const ServerRecord& record) { return record.failureDomain == lost; });
+        }
         for (const auto& instance : this->instances)
-            instance->fleet.applyRecords(this->records, this->clock.now());
+            instance->fleet.applyRecords(present, this->clock.now());
     }
 
     // The former instances are kept until the end, because responses to their requests are still under way.
@@ -326,7 +393,7 @@
         for (const auto& sender : this->instances) {
             const std::string heartbeat = sender->view.nextDatagram();
             for (const auto& receiver : this->instances) {
-                if (receiver != sender)
+                if (receiver != sender && !this->isCut(receiver->settings.region, sender->settings.region))
                     receiver->view.receive(heartbeat);
             }
         }
@@ -340,6 +407,9 @@
             for (const LoadExchange::Datagram& datagram : sender->exchange.collectDueDatagrams()) {
                 SimulatedInstance& target = *this->instances[datagram.target - 1];
                 const bool isSameRegion = target.settings.region == sender->settings.region;
+                if (this->isCut(target.settings.region, sender->settings.region)
+                    || this->isBetween(this->workload.silentFromSecond, this->workload.silentToSecond))
+                    continue;
                 this->scheduleAfter(isSameRegion ? sameRegionRoundTripMs : this->workload.interRegionRoundTripMs / 2,
                     [&target, address, bytes = datagram.bytes] { target.exchange.receive(address, bytes); });
             }
@@ -365,45 +435,81 @@
     {
         std::vector<double> weights;
         weights.reserve(this->workload.domainSizes.size());
-        for (const DomainSize& size : this->workload.domainSizes)
-            weights.push_back(size.requestWeight);
+        for (const DomainSize& size : this->workload.domainSizes) {
+            const double phase = this->nowMs / 1000 / this->workload.wavePeriodSeconds
+                + static_cast<double>(weights.size()) / static_cast<double>(this->workload.domainSizes.size());
+            const double wave = std::sin(2 * std::numbers::pi * phase);
+            weights.push_back(size.requestWeight * (1 + this->workload.waveAmplitude * wave));
+        }
         std::discrete_distribution<size_t> chooseDomain(weights.begin(), weights.end());
         const size_t domain = chooseDomain(this->random);
         int object = static_cast<int>(this->random() % static_cast<uint32_t>(this->workload.objects));
         if (this->workload.hasObjectsPerDomain)
             object += static_cast<int>(domain) * this->workload.objects;
         const std::vector<SimulatedInstance*>& instancesOfDomain = this->instancesByDomain[domain];
-        this->send(*instancesOfDomain[this->random() % instancesOfDomain.size()], object);
+        SimulatedInstance& instance = *instancesOfDomain[this->random() % instancesOfDomain.size()];
+        const auto second = static_cast<size_t>(this->nowMs / 1000);
+        ++this->result.requestsBySecond[second];
+        ++this->result.requestsByRegion.at(instance.settings.region)[second];
+        this->send(instance, object, second);
     }
 
-    void send(SimulatedInstance& instance, int object)
+    void send(SimulatedInstance& instance, int object, size_t second, bool isRetry = false)
     {
-        const auto second = static_cast<size_t>(this->nowMs / 1000);
-        ++this->result.requestsBySecond[second];
         BackendFleet& fleet = instance.fleet;
         const std::optional<PlacementChoice> choice = this->chooseServerFor(instance, object);
-        if (!choice || !shouldSend(*choice))
+        if (!choice || !shouldSend(*choice)) {
+            instance.shiftLimiter.recordRefusal();
             return;
+        }
         const BackendServerPointer server = choice->server;
         const double roundTripMs = server->region == instance.settings.region ? sameRegionRoundTripMs
                                                                               : this->workload.interRegionRoundTripMs;
         const double startedAt = this->nowMs;
+        if (this->isCut(server->region, instance.settings.region)) {
+            fleet.beginAttempt(*server, choice->expectedProcessingMs);
+            this->scheduleAfter(200, [this, &instance, &fleet, server, object, second, isRetry] {
+                fleet.endAttempt(*server, AttemptOutcome::Unreachable);
+                if (!isRetry)
+                    this->send(instance, object, second, true);
+            });
+            return;
+        }
         fleet.beginAttempt(*server, choice->expectedProcessingMs);
         instance.shiftLimiter.recordSend(server->region != instance.settings.region);
         this->countSend(instance.settings.region, server->region);
         fleet.recordCachedObject(*server, objectKeyOf(choice->objectHash));
         const auto index = static_cast<size_t>(std::stoi(server->record.id.substr(1)));
         ++this->result.sendsByServer[index];
-        this->submit(index, { object, [this, &fleet, server, startedAt, roundTripMs, second, index](bool wasExecuted) {
-                                 SimulatedServer& simulated = this->servers[index];
-                                 fleet.recordLoadReport(*server, static_cast<int64_t>(simulated.running),
-                                     static_cast<int64_t>(simulated.queue.size()), SimulatedServer::slots);
-                                 fleet.endAttempt(
-                                     *server, wasExecuted ? AttemptOutcome::Answered : AttemptOutcome::Shed);
-                                 const double durationMs = this->nowMs - startedAt + roundTripMs;
-                                 if (wasExecuted && durationMs <= static_cast<double>(this->rule.targetLatencyMs))
-                                     ++this->result.inTimeBySecond[second];
-                             } });
+        const double delayMs = this->workload.hasNetworkDelay ? roundTripMs / 2 : 0;
+        const auto onAnswered = [this, &instance, &fleet, server, startedAt, roundTripMs, delayMs, second](
+                                    bool wasExecuted, int64_t running, int64_t waiting) {
+            fleet.recordLoadReport(*server, running, waiting, SimulatedServer::slots);
+            fleet.endAttempt(*server, wasExecuted ? AttemptOutcome::Answered : AttemptOutcome::Shed);
+            const double durationMs = this->nowMs - startedAt + (delayMs > 0 ? 0 : roundTripMs);
+            if (wasExecuted && durationMs <= static_cast<double>(this->rule.targetLatencyMs)) {
+                ++this->result.inTimeBySecond[second];
+                ++this->result.inTimeByRegion.at(instance.settings.region)[second];
+            }
+        };
+        const SimulatedServer::Job job { object, [this, index, delayMs, onAnswered](bool wasExecuted) {
+                                            const SimulatedServer& simulated = this->servers[index];
+                                            const auto running = static_cast<int64_t>(simulated.running);
+                                            const auto waiting = static_cast<int64_t>(simulated.queue.size());
+                                            this->after(delayMs, [onAnswered, wasExecuted, running, waiting] {
+                                                onAnswered(wasExecuted, running, waiting);
+                                            });
+                                        } };
+        this->after(delayMs, [this, index, job] { this->submit(index, job); });
+    }
+
+    // Without a delay, the action takes place at once.
+    void after(double milliseconds, const std::function<void()>& action)
+    {
+        if (milliseconds > 0)
+            this->scheduleAfter(milliseconds, action);
+        else
+            action();
     }
 
     std::optional<PlacementChoice> chooseServerFor(SimulatedInstance& instance, int object)
@@ -413,7 +519,8 @@
             const PlacementRequest request { this->rule, this->service, std::to_string(object),
                 instance.settings.region, instance.settings.failureDomain, this->roundTripsMs,
                 [](const BackendServer&) { return true; }, now, now + Milliseconds(this->rule.timeoutMs),
-                instance.shiftLimiter, this->coldServerSenders, this->excludedServers, this->isAfterRestart };
+                instance.shiftLimiter, this->coldServerSenders, this->excludedServers, this->isAfterRestart,
+                this->policy == Policy::Placement ? &instance.regionShares : nullptr };
             return chooseServer(instance.fleet, request, this->processingTime, now);
         }
         PlacementChoice choice;
