--- a/src/edge/include/wagtailrack/edge/DepartedServers.h
+++ b/src/edge/include/wagtailrack/edge/DepartedServers.h
@@ -24,7 +24,7 @@
         std::string id;
         int64_t startedAtMs = 0;
 
-        friend auto operator<=>(const Lifetime&, const Lifetime&) = default;
+        friend auto operator<=>(const Lifetime&, const Lifetime&) = default; // NOLINT(modernize-use-nullptr)
     };
 
     struct Departure {
--- a/src/edge/include/wagtailrack/edge/StoreRevision.h
+++ b/src/edge/include/wagtailrack/edge/StoreRevision.h
@@ -23,7 +23,7 @@
     constexpr int64_t era() const noexcept { return this->eraNumber; }
     constexpr int64_t number() const noexcept { return this->revisionNumber; }
 
-    friend constexpr auto operator<=>(const StoreRevision&, const StoreRevision&) = default;
+    friend auto operator<=>(const StoreRevision&, const StoreRevision&) = default; // NOLINT(modernize-use-nullptr)
 
 private:
     int64_t eraNumber = 0;
@@ -43,7 +43,7 @@
     constexpr int64_t era() const noexcept { return this->eraNumber; }
     constexpr int64_t id() const noexcept { return this->leaseId; }
 
-    friend constexpr auto operator<=>(const StoreLease&, const StoreLease&) = default;
+    friend auto operator<=>(const StoreLease&, const StoreLease&) = default; // NOLINT(modernize-use-nullptr)
 
 private:
     int64_t eraNumber = 0;
