--- a/bench/src/ApiKeyBenchmark.cpp
+++ b/bench/src/ApiKeyBenchmark.cpp
@@ -1,6 +1,6 @@
 #include "Benchmark.h"
 
-#include <wagtailrack/edge/TenantDirectory.h>
+#include <wagtailrack/edge/WorkspaceDirectory.h>
 
 #include <algorithm>
 #include <cstdio>
@@ -13,7 +13,7 @@
 // Keys of a deployment of today, and the number from which the cost of a look-up must not differ.
 static constexpr size_t keyCounts[] = { 80, 100'000 };
 static constexpr size_t keyBytes = 20;
-static constexpr size_t keysPerTenant = 2;
+static constexpr size_t keysPerWorkspace = 2;
 // Keys that are looked up in turn. They fit into the processor's cache together, so that the figures show the cost of
 // the look-up and not of memory that was not used for long.
 static constexpr size_t usedKeys = 64;
@@ -30,13 +30,13 @@
 {
     constexpr size_t lookups = 500'000;
     std::mt19937 random(1);
-    edge::TenantDirectory directory;
+    edge::WorkspaceDirectory directory;
     std::vector<std::string> known;
-    for (size_t tenant = 0; tenant * keysPerTenant < keyCount; ++tenant) {
-        edge::Tenant added;
-        added.name = "tenant-" + std::to_string(tenant);
+    for (size_t workspace = 0; workspace * keysPerWorkspace < keyCount; ++workspace) {
+        edge::Workspace added;
+        added.name = "workspace-" + std::to_string(workspace);
         std::vector<std::string> keys;
-        for (size_t count = 0; count < keysPerTenant; ++count)
+        for (size_t count = 0; count < keysPerWorkspace; ++count)
             keys.push_back(makeKey(random));
         known.push_back(keys.front());
         directory.add(added, keys);
--- a/src/edge/include/wagtailrack/edge/ClusterStateCache.h
+++ b/src/edge/include/wagtailrack/edge/ClusterStateCache.h
@@ -110,6 +110,7 @@
     asio::awaitable<void> syncServerRecords();
     asio::awaitable<void> syncWithPeers();
     asio::awaitable<void> maintainRegistration();
+    asio::awaitable<void> listInstances();
     // Reads the changes since the own copy, or lists all items if that is not possible.
     asio::awaitable<bool> readOperatorItems();
     asio::awaitable<bool> readOperatorItemChanges();
--- a/src/edge/include/wagtailrack/edge/EdgeNode.h
+++ b/src/edge/include/wagtailrack/edge/EdgeNode.h
@@ -67,7 +67,7 @@
     Status openDatagramSocket();
     void sendHeartbeats();
     void sendUsageDatagrams();
-    // Tells the usage exchange of the tenants in force.
+    // Tells the usage exchange of the workspaces in force.
     void updateUsageLimits();
     void sendDatagram(uint32_t target, const std::string& bytes);
     asio::awaitable<void> runHeartbeatLoop();
--- a/src/edge/include/wagtailrack/edge/EdgeSettings.h
+++ b/src/edge/include/wagtailrack/edge/EdgeSettings.h
@@ -29,7 +29,8 @@
     // the time in which a withdrawn key has to stop working.
     bool isKeyConfirmationRequired = false;
     int64_t keyWithdrawalMs = 5000;
-    // Usage limits: in any window of this length, the requests of a tenant that servers run are at most (rate x window
+    // Usage limits: in any window of this length, the requests of a workspace that servers run are at most (rate x
+    // window
     // + burst) x (1 + `usageOverage`) + `usageSlack`.
     int64_t usageWindowMs = 5000;
     double usageOverage = 0.1;
--- a/src/edge/include/wagtailrack/edge/Http.h
+++ b/src/edge/include/wagtailrack/edge/Http.h
@@ -41,8 +41,8 @@
     std::string serverLoad;
     // Set by a server that did not execute the request.
     std::string notExecuted;
-    // Name of the tenant for which a request is executed. Set by the instance; the value of a caller is dropped.
-    std::string tenant;
+    // Name of the workspace for which a request is executed. Set by the instance; the value of a caller is dropped.
+    std::string workspace;
 };
 
 Tcp::endpoint toTcpEndpoint(const Endpoint& endpoint);
--- a/src/edge/include/wagtailrack/edge/InstanceMembership.h
+++ b/src/edge/include/wagtailrack/edge/InstanceMembership.h
@@ -55,6 +55,13 @@
     // Time after the start or a pause of this process in which the list of instances may be incomplete. Heartbeats of
     // all instances arrive within about six gossip rounds.
     static constexpr Milliseconds settlingTime { 1500 };
+    // Time after the start or a pause of this process in which gossip rounds follow each other at the shorter interval,
+    // and after which the instances of the own failure domain are known, if the registry has been listed.
+    static constexpr Milliseconds domainSettlingTime { 700 };
+    static constexpr Milliseconds initialRoundInterval { 60 };
+    // Time after the first listing of the registry in which the instances that it names answer: a round trip between
+    // regions and several rounds at the shorter interval.
+    static constexpr Milliseconds registrySettlingTime { 400 };
     // Keeps a datagram below the usual packet size.
     static constexpr size_t maximumHeartbeatsPerDatagram = 70;
 
@@ -67,6 +74,9 @@
     // Adds an address from the registry as a target of datagrams. Its instance is not alive before its first heartbeat.
     void addAddress(uint32_t address);
 
+    // The registry has been listed, and its addresses have been added.
+    void recordRegistryListing();
+
     // Returns the datagrams of the next gossip round.
     std::vector<Datagram> nextGossipRound();
     // Returns datagrams with this instance's heartbeat to all other instances, for a change of state that must not wait
@@ -85,6 +95,9 @@
     // Returns whether the list of instances is complete enough to compute a share: false for a while after the start
     // of the process and after a pause of it, such as SIGSTOP or a suspension of the machine.
     bool isSettled() const;
+    // As isSettled(), sooner, for the instances of the own failure domain alone. False while the registry has not been
+    // listed, because the process then knows of no other instance.
+    bool isDomainSettled() const;
     // Start of the process, or end of its latest pause of a second or more.
     SteadyTime runningSince() const;
     void removeExpired();
@@ -112,6 +125,8 @@
     std::set<uint32_t> newInstances;
     uint32_t rotationOffset = 0;
     SteadyTime lastRoundAt;
+    // When the registry was first listed; the epoch: never.
+    SteadyTime registryListedAt;
     // As runningSince(), for pauses that ended before the latest gossip round.
     SteadyTime resumedAt;
 };
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -69,15 +69,15 @@
     struct ForwardingState {
         ExchangePointer exchange;
         RoutingTablePointer routingTable;
-        // The route, with the regions that both it and the tenant allow.
+        // The route, with the regions that both it and the workspace allow.
         RouteRule rule;
-        // Name of the tenant whose API key the request carries; empty if it carries none.
-        std::string tenantName;
-        // The tenant's priority if it has one, otherwise that of the route.
+        // Name of the workspace whose API key the request carries; empty if it carries none.
+        std::string workspaceName;
+        // The workspace's priority if it has one, otherwise that of the route.
         int64_t priority = 0;
-        // Decision on the usage limit of the tenant, which the request is counted for even if its key is withdrawn
+        // Decision on the usage limit of the workspace, which the request is counted for even if its key is withdrawn
         // later.
-        std::string limitedTenantName;
+        std::string limitedWorkspaceName;
         UsageDecision usage;
         std::string requestId;
         RequestFingerprint fingerprint = 0;
@@ -86,8 +86,8 @@
         SteadyTime deadline;
         // Whether the caller sends the request again, after it was rejected or failed.
         bool isReturning = false;
-        // Whether the request is beyond the usual share of its tenant, and whether it counts as sent there.
-        bool isBeyondTenantShare = false;
+        // Whether the request is beyond the usual share of its workspace, and whether it counts as sent there.
+        bool isBeyondWorkspaceShare = false;
         bool isCountedAsSent = false;
         // Latest decision on whether the request is sent, and on how long it may wait at the server.
         AdmissionDecision admission;
@@ -147,18 +147,19 @@
     void finishAfterFailure(ForwardingState& state, const char* reason, double retryAfterSeconds);
     NextStep retryOrFinish(ForwardingState& state);
     bool prepareRequest(ForwardingState& state);
-    // Counts the request for the usage limit of its tenant. Responds to the caller and returns false if it is refused.
+    // Counts the request for the usage limit of its workspace. Responds to the caller and returns false if it is
+    // refused.
     bool admitUsage(ForwardingState& state);
     // Waits for the decision on the usage limit if it is pending; as admitUsage().
     asio::awaitable<bool> awaitUsageDecision(ForwardingState& state);
-    bool applyUsageDecision(ForwardingState& state, const Tenant& tenant);
-    // Returns the request to its tenant's usage limit if no server has executed it.
+    bool applyUsageDecision(ForwardingState& state, const Workspace& workspace);
+    // Returns the request to its workspace's usage limit if no server has executed it.
     void refundUsage(const ForwardingState& state);
-    // Finds the route and the tenant of the request in `state.routingTable`. Responds to the caller and returns false
-    // if the request must not be forwarded.
+    // Finds the route and the workspace of the request in `state.routingTable`. Responds to the caller and returns
+    // false if the request must not be forwarded.
     bool resolveRoute(ForwardingState& state);
     // As resolveRoute(), for the API key alone.
-    bool resolveTenant(ForwardingState& state);
+    bool resolveWorkspace(ForwardingState& state);
     static ConnectionUse connectionUseOf(const ForwardingState& state);
     std::shared_ptr<Call> makeCall(const ForwardingState& state, const BackendServer& server) const;
     // `durationMs` is the duration of the attempt without the time to connect and the network round trip.
--- a/src/edge/include/wagtailrack/edge/RoutingTable.h
+++ b/src/edge/include/wagtailrack/edge/RoutingTable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <wagtailrack/edge/TenantDirectory.h>
+#include <wagtailrack/edge/WorkspaceDirectory.h>
 #include <wagtailrack/version/Route.h>
 
 #include <compare>
@@ -42,7 +42,7 @@
     std::vector<std::string> homeRegions;
     // Whether a server is faster on objects that it has handled before.
     bool hasAffinity = false;
-    // Whether requests need no API key although the configuration has tenants.
+    // Whether requests need no API key although the configuration has workspaces.
     bool isAnonymous = false;
     // Whether responses are too large to be held whole by many requests at the same time.
     bool hasLargeResponses = false;
@@ -80,7 +80,7 @@
     using ServicesByName = std::map<std::string, ServiceSettings, std::less<>>;
 
     RoutingTable(uint64_t version, CallerLimits limits, RoutesByHost hosts, ServicesByName services,
-        TenantDirectory directory = {});
+        WorkspaceDirectory directory = {});
     // The index refers to the rules of the same object.
     RoutingTable(const RoutingTable&) = delete;
     RoutingTable& operator=(const RoutingTable&) = delete;
@@ -94,12 +94,15 @@
     const ServiceSettings* findService(std::string_view name) const noexcept;
 
     // Whether requests need an API key, unless their route is anonymous.
-    bool hasTenants() const noexcept { return !this->tenants.isEmpty(); }
-    // The tenant that holds an API key; null if none does.
-    const Tenant* findTenant(std::string_view key) const noexcept { return this->tenants.findByKey(key); }
-    const Tenant* findTenantByName(std::string_view name) const noexcept { return this->tenants.findByName(name); }
+    bool hasWorkspaces() const noexcept { return !this->workspaces.isEmpty(); }
+    // The workspace that holds an API key; null if none does.
+    const Workspace* findWorkspace(std::string_view key) const noexcept { return this->workspaces.findByKey(key); }
+    const Workspace* findWorkspaceByName(std::string_view name) const noexcept
+    {
+        return this->workspaces.findByName(name);
+    }
 
-    const TenantDirectory& tenantDirectory() const noexcept { return this->tenants; }
+    const WorkspaceDirectory& workspaceDirectory() const noexcept { return this->workspaces; }
 
     uint64_t version() const noexcept { return this->versionNumber; }
     const CallerLimits& limits() const noexcept { return this->callerLimits; }
@@ -118,7 +121,7 @@
     const RoutesByHost routesByHost;
     std::unordered_map<std::string_view, HostIndex> indexByHost;
     ServicesByName servicesByName;
-    TenantDirectory tenants;
+    WorkspaceDirectory workspaces;
 };
 
 using RoutingTablePointer = std::shared_ptr<const RoutingTable>;
--- a/src/edge/include/wagtailrack/edge/UsageExchange.h
+++ b/src/edge/include/wagtailrack/edge/UsageExchange.h
@@ -15,9 +15,9 @@
 
 namespace wagtailrack::edge {
 
-// Brings the tokens of tenants with a usage limit to the instances that have requests for them. Each instance asks one
-// instance of its failure domain, its hub, for the tokens that it needs now; hubs borrow from hubs of other domains
-// what they lack. Messages name only tenants that need tokens.
+// Brings the tokens of workspaces with a usage limit to the instances that have requests for them. Each instance asks
+// one instance of its failure domain, its hub, for the tokens that it needs now; hubs borrow from hubs of other domains
+// what they lack. Messages name only workspaces that need tokens.
 //
 // An instance whose hub does not answer asks the next candidate, and in the end itself, where it has its own part of
 // the domain's share. It is counted for the new hub only after the old one has stopped counting it. Lives as long as
@@ -32,8 +32,8 @@
 
     UsageExchange(const Clock& clock, UsageLimiter& limiter, const UsageTopology& topology, const FleetBounds& bounds);
 
-    // Sets the tenants of the configuration in force. Must be called again when it or the bounds change.
-    void setTenants(const std::deque<Tenant>& tenants);
+    // Sets the workspaces of the configuration in force. Must be called again when it or the bounds change.
+    void setWorkspaces(const std::deque<Workspace>& workspaces);
     bool hasLimits() const noexcept { return !this->limits.empty(); }
 
     // Returns the datagrams that are due. Must be called often, and after each receive(), which may make an answer due.
@@ -59,7 +59,7 @@
         SteadyTime deniedUntil;
     };
 
-    struct TenantLimit {
+    struct WorkspaceLimit {
         // Of the own domain.
         UsageBucketSize size;
         std::vector<Lender> lenders;
@@ -85,7 +85,7 @@
     const UsageTopology& topology;
     const FleetBounds& bounds;
     UsageHub hub;
-    std::map<TenantKey, TenantLimit> limits;
+    std::map<WorkspaceKey, WorkspaceLimit> limits;
     std::vector<Datagram> outbox;
     std::deque<SentRequest> sentRequests;
     uint64_t sentByteCount = 0;
--- a/src/edge/include/wagtailrack/edge/UsageHub.h
+++ b/src/edge/include/wagtailrack/edge/UsageHub.h
@@ -2,8 +2,8 @@
 
 #include <wagtailrack/base/Clock.h>
 #include <wagtailrack/edge/EdgeSettings.h>
-#include <wagtailrack/edge/TenantDirectory.h>
 #include <wagtailrack/edge/UsageMessages.h>
+#include <wagtailrack/edge/WorkspaceDirectory.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -24,13 +24,13 @@
 
 // The bucket of all instances together: in any window, requests that use its tokens are within the bound
 // (rate x window + burst) x (1 + overage) + slack.
-UsageBucketSize usageBucketSize(const Tenant& tenant, const FleetBounds& bounds);
+UsageBucketSize usageBucketSize(const Workspace& workspace, const FleetBounds& bounds);
 
-// The failure domains that share a tenant's bucket in equal parts: as many as can have a depth of some requests each,
-// because a domain with less would never have a whole token. Depends only on the arguments.
-std::vector<size_t> usageDomains(std::string_view tenantName, const UsageBucketSize& size, size_t domainCount);
+// The failure domains that share a workspace's bucket in equal parts: as many as can have a depth of some requests
+// each, because a domain with less would never have a whole token. Depends only on the arguments.
+std::vector<size_t> usageDomains(std::string_view workspaceName, const UsageBucketSize& size, size_t domainCount);
 
-// Holds a failure domain's share of the tenants' usage limits as token buckets, grants tokens to the domain's
+// Holds a failure domain's share of the workspaces' usage limits as token buckets, grants tokens to the domain's
 // instances, and lends tokens to hubs of other domains that lack them. The settings, not the instances seen, say which
 // domains there are and so which part of a limit each one has (see usageDomains()). Of that part, a hub has the part of
 // the domain's instances that report to it, so that two hubs of one domain divide the share among themselves.
@@ -49,8 +49,8 @@
 
     explicit UsageHub(const Clock& clock);
 
-    // Sets the buckets of the whole domain, which may be of size 0. Those of tenants that are new begin empty.
-    void setBuckets(const std::map<TenantKey, UsageBucketSize>& sizes);
+    // Sets the buckets of the whole domain, which may be of size 0. Those of workspaces that are new begin empty.
+    void setBuckets(const std::map<WorkspaceKey, UsageBucketSize>& sizes);
     // Adds the tokens due since the last call; `fraction` is the part of the domain's instances that report to this
     // hub.
     void refill(double fraction);
@@ -62,7 +62,7 @@
     // Tokens that the instances of the domain need and this hub lacks, less those asked for recently.
     std::vector<UsageNeed> collectLoanNeeds();
     // An answer to a request for `requested` tokens.
-    void addLoan(TenantKey tenant, uint32_t requested, uint32_t lent, SteadyTime validUntil);
+    void addLoan(WorkspaceKey workspace, uint32_t requested, uint32_t lent, SteadyTime validUntil);
 
 private:
     struct InstanceNeed {
@@ -76,7 +76,7 @@
         SteadyTime validUntil;
     };
 
-    struct TenantState {
+    struct WorkspaceState {
         UsageBucketSize size;
         // Tokens in the bucket.
         double tokens = 0;
@@ -87,16 +87,16 @@
         std::map<uint32_t, InstanceNeed> needs;
     };
 
-    void removeOutdated(TenantState& state) const;
+    void removeOutdated(WorkspaceState& state) const;
     static int64_t total(const std::deque<TimedAmount>& amounts) noexcept;
-    static int64_t unmetNeed(const TenantState& state) noexcept;
-    static double demand(const TenantState& state) noexcept;
-    static void take(TenantState& state, int64_t amount);
+    static int64_t unmetNeed(const WorkspaceState& state) noexcept;
+    static double demand(const WorkspaceState& state) noexcept;
+    static void take(WorkspaceState& state, int64_t amount);
 
     const Clock& clock;
     double currentFraction = 0;
     SteadyTime refilledAt;
-    std::map<TenantKey, TenantState> states;
+    std::map<WorkspaceKey, WorkspaceState> states;
 };
 
 }
--- a/src/edge/include/wagtailrack/edge/UsageLimiter.h
+++ b/src/edge/include/wagtailrack/edge/UsageLimiter.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <wagtailrack/base/Clock.h>
-#include <wagtailrack/edge/TenantDirectory.h>
 #include <wagtailrack/edge/UsageMessages.h>
+#include <wagtailrack/edge/WorkspaceDirectory.h>
 
 #include <cstddef>
 #include <deque>
@@ -14,7 +14,7 @@
 
 namespace wagtailrack::edge {
 
-TenantKey tenantKey(std::string_view tenantName) noexcept;
+WorkspaceKey workspaceKey(std::string_view workspaceName) noexcept;
 
 // Rate of events per second, as an average in which older events count exponentially less.
 class DecayingRate {
@@ -34,16 +34,16 @@
     SteadyTime waitsUntil;
     // When a token is expected, if the request is refused.
     SteadyTime retryAt;
-    // Whether no request of the tenant has been refused for some seconds.
+    // Whether no request of the workspace has been refused for some seconds.
     bool isFirstRefusal = false;
     // Until when refund() may return the token of an allowed request.
     SteadyTime refundableUntil;
 };
 
-// Decides whether a request is within its tenant's usage limit. Holds the tokens that UsageExchange has been granted,
-// each valid for a short time, and never creates any: the limit is that of the hubs' buckets (see UsageHub), whatever
-// happens to messages and instances. Without grants, requests of limited tenants are refused. Lives as long as the
-// process; must be used from one thread only.
+// Decides whether a request is within its workspace's usage limit. Holds the tokens that UsageExchange has been
+// granted, each valid for a short time, and never creates any: the limit is that of the hubs' buckets (see UsageHub),
+// whatever happens to messages and instances. Without grants, requests of limited workspaces are refused. Lives as long
+// as the process; must be used from one thread only.
 class UsageLimiter {
 public:
     // Longest time that a request waits for a token. A hub that has none left gets one from another region within a
@@ -54,19 +54,19 @@
     explicit UsageLimiter(const Clock& clock);
 
     // Takes one token. A request for which the decision is pending has to be asked for again until it is decided.
-    UsageDecision admit(const Tenant& tenant);
-    UsageDecision continueWaiting(const Tenant& tenant, SteadyTime waitsUntil);
+    UsageDecision admit(const Workspace& workspace);
+    UsageDecision continueWaiting(const Workspace& workspace, SteadyTime waitsUntil);
     // Returns the token of a request that did not run; ignored after `refundableUntil`, when the limit may have been
     // given out again.
-    void refund(std::string_view tenantName, SteadyTime refundableUntil);
+    void refund(std::string_view workspaceName, SteadyTime refundableUntil);
 
     // Called when a request begins to wait.
     void setDemandHook(std::function<void()> hook) { this->demandHook = std::move(hook); }
 
-    // What this instance can use now, for the tenants of which it can use anything.
+    // What this instance can use now, for the workspaces of which it can use anything.
     std::vector<UsageNeed> collectNeeds();
-    void addTokens(TenantKey tenant, size_t count, SteadyTime validUntil);
-    // Removes the state of tenants without recent requests.
+    void addTokens(WorkspaceKey workspace, size_t count, SteadyTime validUntil);
+    // Removes the state of workspaces without recent requests.
     void removeExpired();
 
 private:
@@ -75,7 +75,7 @@
         SteadyTime validUntil;
     };
 
-    struct TenantState {
+    struct WorkspaceState {
         // Ordered by the end of their validity.
         std::deque<Tokens> tokens;
         // For each request that waits, when it stops waiting. Entries of requests that were abandoned expire.
@@ -88,15 +88,15 @@
         SteadyTime refusedAt;
     };
 
-    void removeOutdated(TenantState& state) const;
-    static size_t tokenCount(const TenantState& state) noexcept;
-    static UsageDecision takeToken(TenantState& state);
-    size_t maximumWaiting(const TenantState& state) const;
-    UsageDecision refuse(TenantState& state) const;
+    void removeOutdated(WorkspaceState& state) const;
+    static size_t tokenCount(const WorkspaceState& state) noexcept;
+    static UsageDecision takeToken(WorkspaceState& state);
+    size_t maximumWaiting(const WorkspaceState& state) const;
+    UsageDecision refuse(WorkspaceState& state) const;
 
     const Clock& clock;
     std::function<void()> demandHook = [] {};
-    std::map<TenantKey, TenantState> states;
+    std::map<WorkspaceKey, WorkspaceState> states;
 };
 
 }
--- a/src/edge/include/wagtailrack/edge/UsageMessages.h
+++ b/src/edge/include/wagtailrack/edge/UsageMessages.h
@@ -5,23 +5,23 @@
 #include <cstdint>
 #include <vector>
 
-// Messages that instances exchange about the usage limits of tenants, encoded like load messages.
+// Messages that instances exchange about the usage limits of workspaces, encoded like load messages.
 namespace wagtailrack::edge {
 
-// Identifies a tenant: the lower 32 bits of the hash of its name.
-using TenantKey = uint32_t;
+// Identifies a workspace: the lower 32 bits of the hash of its name.
+using WorkspaceKey = uint32_t;
 
-// Tokens of a tenant's limit that a sender can use. Whole ones: a part of a token would expire before it is of use.
+// Tokens of a workspace's limit that a sender can use. Whole ones: a part of a token would expire before it is of use.
 struct UsageNeed {
-    TenantKey tenant = 0;
+    WorkspaceKey workspace = 0;
     // Tokens for requests that wait, and tokens that save requests of the near future the wait.
     uint32_t neededTokens = 0;
     uint32_t prefetchTokens = 0;
-    // Requests per second of the tenant at the sender, in hundredths; 0 in requests between hubs.
+    // Requests per second of the workspace at the sender, in hundredths; 0 in requests between hubs.
     uint32_t demandHundredths = 0;
 
     friend bool operator==(const UsageNeed&, const UsageNeed&) = default;
-    MSGPACK_DEFINE(tenant, neededTokens, prefetchTokens, demandHundredths)
+    MSGPACK_DEFINE(workspace, neededTokens, prefetchTokens, demandHundredths)
 };
 
 // Sent by an instance to its hub, and by a hub to hubs of other failure domains.
@@ -40,11 +40,11 @@
 };
 
 struct UsageAmount {
-    TenantKey tenant = 0;
+    WorkspaceKey workspace = 0;
     uint32_t tokens = 0;
 
     friend bool operator==(const UsageAmount&, const UsageAmount&) = default;
-    MSGPACK_DEFINE(tenant, tokens)
+    MSGPACK_DEFINE(workspace, tokens)
 };
 
 // Answer to a UsageRequest: tokens that the requester may use until a fixed time after it sent the request.
--- a/src/edge/include/wagtailrack/edge/UsageTopology.h
+++ b/src/edge/include/wagtailrack/edge/UsageTopology.h
@@ -21,7 +21,7 @@
     virtual bool isInOwnRegion(size_t domainIndex) const = 0;
     // Instances of a failure domain, in order of preference as its hub.
     virtual std::vector<uint32_t> hubCandidates(size_t domainIndex) const = 0;
-    // Whether the list of instances is complete enough to compute a share.
+    // Whether the list of the own domain's instances is complete enough to compute a share.
     virtual bool isSettled() const = 0;
 };
 
@@ -47,7 +47,7 @@
     {
         return this->loadExchange.hubCandidates(static_cast<uint8_t>(domainIndex));
     }
-    bool isSettled() const override { return this->membership.isSettled(); }
+    bool isSettled() const override { return this->membership.isDomainSettled(); }
 
 private:
     const EdgeSettings& settings;
--- a/src/edge/src/ClusterStateCache.cpp
+++ b/src/edge/src/ClusterStateCache.cpp
@@ -863,6 +863,27 @@
         this->fleet.applyRecords(this->serverRecords.records(), std::max(this->missingGraceUntil, now));
 }
 
+asio::awaitable<void> ClusterStateCache::listInstances()
+{
+    const std::string prefix = this->codec.layout().instancePrefix;
+    // A stale list is sufficient: an instance that is missing from it is announced by other instances, and one
+    // that no longer exists sends no heartbeats.
+    Result<StoreListing> listing = co_await this->store.list(prefix, ReadConsistency::Serializable);
+    this->countStoreCall("list-instances", listing.has_value());
+    if (listing) {
+        bool hasOthers = this->membership.aliveInstances().size() > 1;
+        for (const StoreItem& item : listing.value().items) {
+            const Result<uint32_t> address = parseIPv4(std::string_view(item.key).substr(prefix.size()));
+            if (!address)
+                continue;
+            hasOthers = hasOthers || address.value() != this->membership.ownHeartbeat().address;
+            this->membership.addAddress(address.value());
+        }
+        this->membership.recordRegistryListing();
+        this->hasPeerState = this->hasPeerState || !hasOthers;
+    }
+}
+
 asio::awaitable<void> ClusterStateCache::maintainRegistration()
 {
     const std::string prefix = this->codec.layout().instancePrefix;
@@ -870,6 +891,9 @@
     SteadyTime nextListAt;
     SteadyTime nextRenewalAt;
     int64_t registeredEra = 0;
+    // A process that replaces another one finds the others in the list at once, and needs them to share limits with.
+    if (!this->settings.isFirstStart)
+        co_await this->listInstances();
     while (true) {
         // The record and the lease are lost with the era, and the lease's id may be given to another instance.
         const int64_t era = std::max(this->store.latestEra(), this->storeEra());
@@ -903,21 +927,7 @@
                 = this->clock.now() + Milliseconds(isRegistered ? leaseRenewalIntervalMs : storeRetryDelayMs * 4);
         }
         if (this->clock.now() >= nextListAt) {
-            // A stale list is sufficient: an instance that is missing from it is announced by other instances, and one
-            // that no longer exists sends no heartbeats.
-            Result<StoreListing> listing = co_await this->store.list(prefix, ReadConsistency::Serializable);
-            this->countStoreCall("list-instances", listing.has_value());
-            if (listing) {
-                bool hasOthers = this->membership.aliveInstances().size() > 1;
-                for (const StoreItem& item : listing.value().items) {
-                    const Result<uint32_t> address = parseIPv4(std::string_view(item.key).substr(prefix.size()));
-                    if (!address)
-                        continue;
-                    hasOthers = hasOthers || address.value() != this->membership.ownHeartbeat().address;
-                    this->membership.addAddress(address.value());
-                }
-                this->hasPeerState = this->hasPeerState || !hasOthers;
-            }
+            co_await this->listInstances();
             nextListAt = this->clock.now()
                 + Milliseconds(++listCount < initialListCount ? initialListIntervalMs : listIntervalMs);
         }
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -470,7 +470,7 @@
         return;
     this->usageLimitsTable = table;
     this->usageLimitsBounds = this->settings.bounds;
-    this->usageExchange.setTenants(table->tenantDirectory().all());
+    this->usageExchange.setWorkspaces(table->workspaceDirectory().all());
 }
 
 void EdgeNode::sendUsageDatagrams()
@@ -500,7 +500,8 @@
     Timer timer(this->context);
     while (true) {
         this->sendHeartbeats();
-        timer.expires_after(Milliseconds(heartbeatIntervalMs));
+        const bool isNew = this->clock.now() - this->membership.runningSince() < InstanceMembership::domainSettlingTime;
+        timer.expires_after(isNew ? InstanceMembership::initialRoundInterval : Milliseconds(heartbeatIntervalMs));
         error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
--- a/src/edge/src/InstanceMembership.cpp
+++ b/src/edge/src/InstanceMembership.cpp
@@ -134,6 +134,19 @@
 
 bool InstanceMembership::isSettled() const { return this->clock.now() - this->runningSince() >= settlingTime; }
 
+bool InstanceMembership::isDomainSettled() const
+{
+    const SteadyTime now = this->clock.now();
+    return this->registryListedAt != SteadyTime() && now - this->registryListedAt >= registrySettlingTime
+        && now - this->runningSince() >= domainSettlingTime;
+}
+
+void InstanceMembership::recordRegistryListing()
+{
+    if (this->registryListedAt == SteadyTime())
+        this->registryListedAt = this->clock.now();
+}
+
 Milliseconds InstanceMembership::heartbeatAge(const InstanceState& state) const
 {
     return std::chrono::duration_cast<Milliseconds>(this->clock.now() - state.counterRoseAt);
--- a/src/edge/src/OverloadAdmission.cpp
+++ b/src/edge/src/OverloadAdmission.cpp
@@ -10,11 +10,11 @@
 
 // Number of requests of a service in which the counts decay; a few seconds of an instance with 20 requests a second.
 constexpr double countDecayRequests = 200;
-// As above, for the usual share of a tenant: a burst of some seconds changes it little.
+// As above, for the usual share of a workspace: a burst of some seconds changes it little.
 constexpr double usualShareDecayRequests = 1000;
-// Requests after which shares are known well enough to tell a burst of a tenant from its usual traffic.
+// Requests after which shares are known well enough to tell a burst of a workspace from its usual traffic.
 constexpr uint64_t shareLearningRequests = 200;
-// A tenant may exceed its usual share by this factor, and by this number of requests at once: with a few requests a
+// A workspace may exceed its usual share by this factor, and by this number of requests at once: with a few requests a
 // second at one instance, their number varies by chance.
 constexpr double shareTolerance = 1.5;
 constexpr double maximumCredit = 4;
@@ -73,8 +73,8 @@
         return "no-time";
     case AdmissionOutcome::Overload:
         return "overload";
-    case AdmissionOutcome::TenantShare:
-        return "tenant-share";
+    case AdmissionOutcome::WorkspaceShare:
+        return "workspace-share";
     }
     return "unknown";
 }
@@ -107,21 +107,22 @@
     const auto route = state.byRoute.find(request.route);
     if (route != state.byRoute.end() && isUnderserved(route->second, state.all))
         return true;
-    const auto tenant = state.byTenant.find(request.tenant);
-    return tenant != state.byTenant.end() && isUnderserved(tenant->second.counts, state.all);
+    const auto workspace = state.byWorkspace.find(request.workspace);
+    return workspace != state.byWorkspace.end() && isUnderserved(workspace->second.counts, state.all);
 }
 
-bool OverloadAdmission::takeCredit(TenantState& tenant, uint64_t arrival)
+bool OverloadAdmission::takeCredit(WorkspaceState& workspace, uint64_t arrival)
 {
-    const uint64_t elapsed = arrival - tenant.counts.at;
-    // Decaying number of all requests; after a start, the tenant's number is small because all numbers are.
+    const uint64_t elapsed = arrival - workspace.counts.at;
+    // Decaying number of all requests; after a start, the workspace's number is small because all numbers are.
     const double allRequests = usualShareDecayRequests * (1 - decayFactor(arrival, usualShareDecayRequests));
-    const double usualShare = tenant.usualRequests / std::max(allRequests, 1.0);
-    tenant.credit = std::min(tenant.credit + shareTolerance * usualShare * static_cast<double>(elapsed), maximumCredit);
-    const bool hasCredit = tenant.credit >= 1;
-    tenant.credit -= hasCredit ? 1 : 0;
+    const double usualShare = workspace.usualRequests / std::max(allRequests, 1.0);
+    workspace.credit
+        = std::min(workspace.credit + shareTolerance * usualShare * static_cast<double>(elapsed), maximumCredit);
+    const bool hasCredit = workspace.credit >= 1;
+    workspace.credit -= hasCredit ? 1 : 0;
     const double weight = hasCredit || arrival <= shareLearningRequests ? 1 : beyondShareWeight;
-    tenant.usualRequests = tenant.usualRequests * decayFactor(elapsed, usualShareDecayRequests) + weight;
+    workspace.usualRequests = workspace.usualRequests * decayFactor(elapsed, usualShareDecayRequests) + weight;
     return hasCredit;
 }
 
@@ -130,7 +131,7 @@
     const auto isStale = [&state](const Counts& counts) { return state.arrivals - counts.at > staleKindArrivals; };
     std::erase_if(state.byPriority, [&](const auto& entry) { return isStale(entry.second); });
     std::erase_if(state.byRoute, [&](const auto& entry) { return isStale(entry.second); });
-    std::erase_if(state.byTenant, [&](const auto& entry) { return isStale(entry.second.counts); });
+    std::erase_if(state.byWorkspace, [&](const auto& entry) { return isStale(entry.second.counts); });
 }
 
 bool OverloadAdmission::recordArrival(const AdmissionRequest& request)
@@ -143,16 +144,18 @@
     countArrival(state.all, arrival, targetMs);
     countArrival(state.byPriority[request.priority], arrival, targetMs);
     countArrival(state.byRoute[request.route], arrival, targetMs);
-    if (request.tenant.empty())
+    if (request.workspace.empty())
         return false;
-    auto tenant = state.byTenant.find(request.tenant);
-    if (tenant == state.byTenant.end()) {
-        if (state.byTenant.size() >= maximumTenants)
+    auto workspace = state.byWorkspace.find(request.workspace);
+    if (workspace == state.byWorkspace.end()) {
+        if (state.byWorkspace.size() >= maximumWorkspaces)
             return false;
-        tenant = state.byTenant.emplace(request.tenant, TenantState { { 0, 0, arrival, 0 }, 0, maximumCredit }).first;
+        workspace
+            = state.byWorkspace.emplace(request.workspace, WorkspaceState { { 0, 0, arrival, 0 }, 0, maximumCredit })
+                  .first;
     }
-    const bool hasCredit = takeCredit(tenant->second, arrival);
-    countArrival(tenant->second.counts, arrival, targetMs);
+    const bool hasCredit = takeCredit(workspace->second, arrival);
+    countArrival(workspace->second.counts, arrival, targetMs);
     return !hasCredit && arrival > shareLearningRequests;
 }
 
@@ -169,13 +172,13 @@
     const auto route = state.byRoute.find(request.route);
     if (route != state.byRoute.end())
         route->second.sent += 1;
-    const auto tenant = state.byTenant.find(request.tenant);
-    if (tenant != state.byTenant.end())
-        tenant->second.counts.sent += 1;
+    const auto workspace = state.byWorkspace.find(request.workspace);
+    if (workspace != state.byWorkspace.end())
+        workspace->second.counts.sent += 1;
 }
 
 AdmissionDecision OverloadAdmission::decide(
-    const AdmissionRequest& request, bool isBeyondTenantShare, const PlacementChoice& choice) const
+    const AdmissionRequest& request, bool isBeyondWorkspaceShare, const PlacementChoice& choice) const
 {
     if (!shouldSend(choice, request.isReturning))
         return { AdmissionOutcome::NoTime };
@@ -194,19 +197,19 @@
     }
     const WaitLimit& levelLimit = limitsByLevel.at(std::min(level, limitsByLevel.size() - 1));
     const double limitMs
-        = waitLimitMs(isBeyondTenantShare ? beyondShareLimit : levelLimit, choice.utilisation, targetMs);
+        = waitLimitMs(isBeyondWorkspaceShare ? beyondShareLimit : levelLimit, choice.utilisation, targetMs);
     if (choice.expectedWaitMs <= limitMs)
         return { AdmissionOutcome::Send, limitMs };
     if (service != this->services.end() && isAnyKindUnderserved(service->second, request)
         && choice.expectedWaitMs <= waitLimitMs(limitsByLevel.front(), choice.utilisation, targetMs))
         return { AdmissionOutcome::Send, limitMs };
-    return { isBeyondTenantShare ? AdmissionOutcome::TenantShare : AdmissionOutcome::Overload, limitMs };
+    return { isBeyondWorkspaceShare ? AdmissionOutcome::WorkspaceShare : AdmissionOutcome::Overload, limitMs };
 }
 
-size_t OverloadAdmission::tenantCount(const std::string& service) const
+size_t OverloadAdmission::workspaceCount(const std::string& service) const
 {
     const auto found = this->services.find(service);
-    return found == this->services.end() ? 0 : found->second.byTenant.size();
+    return found == this->services.end() ? 0 : found->second.byWorkspace.size();
 }
 
 }
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -265,17 +265,17 @@
     state.exchange->response.set(http::field::www_authenticate, "Bearer");
 }
 
-bool RequestForwarder::resolveTenant(ForwardingState& state)
+bool RequestForwarder::resolveWorkspace(ForwardingState& state)
 {
     const RoutingTable& table = *state.routingTable;
-    state.tenantName.clear();
+    state.workspaceName.clear();
     state.priority = state.rule.priority;
-    if (!table.hasTenants())
+    if (!table.hasWorkspaces())
         return true;
     KeyProblem problem = KeyProblem::Missing;
     const std::string_view key = bearerKey(state.exchange->request.base(), problem);
-    const Tenant* tenant = key.empty() ? nullptr : table.findTenant(key);
-    if (!tenant) {
+    const Workspace* workspace = key.empty() ? nullptr : table.findWorkspace(key);
+    if (!workspace) {
         if (state.rule.isAnonymous)
             return true;
         this->refuseKey(state, key.empty() ? problem : KeyProblem::Unknown);
@@ -287,17 +287,18 @@
         this->reject(state, keysUnconfirmedOutcome, unconfiguredRetryAfterSeconds);
         return false;
     }
-    state.tenantName = tenant->name;
-    state.priority = tenant->priority.value_or(state.rule.priority);
-    if (tenant->homeRegions.empty())
+    state.workspaceName = workspace->name;
+    state.priority = workspace->priority.value_or(state.rule.priority);
+    if (workspace->homeRegions.empty())
         return true;
     std::vector<std::string>& regions = state.rule.homeRegions;
     if (regions.empty()) {
-        regions = tenant->homeRegions;
+        regions = workspace->homeRegions;
         return true;
     }
-    std::erase_if(regions, [tenant](const std::string& region) {
-        return std::find(tenant->homeRegions.begin(), tenant->homeRegions.end(), region) == tenant->homeRegions.end();
+    std::erase_if(regions, [workspace](const std::string& region) {
+        return std::find(workspace->homeRegions.begin(), workspace->homeRegions.end(), region)
+            == workspace->homeRegions.end();
     });
     if (!regions.empty())
         return true;
@@ -313,17 +314,18 @@
         return false;
     }
     state.rule = *rule;
-    return this->resolveTenant(state);
+    return this->resolveWorkspace(state);
 }
 
 bool RequestForwarder::admitUsage(ForwardingState& state)
 {
-    const Tenant* tenant = state.tenantName.empty() ? nullptr : state.routingTable->findTenantByName(state.tenantName);
-    if (!tenant || tenant->requestsPerSecond <= 0)
+    const Workspace* workspace
+        = state.workspaceName.empty() ? nullptr : state.routingTable->findWorkspaceByName(state.workspaceName);
+    if (!workspace || workspace->requestsPerSecond <= 0)
         return true;
-    state.limitedTenantName = tenant->name;
-    state.usage = this->dependencies.usageLimiter.admit(*tenant);
-    return this->applyUsageDecision(state, *tenant);
+    state.limitedWorkspaceName = workspace->name;
+    state.usage = this->dependencies.usageLimiter.admit(*workspace);
+    return this->applyUsageDecision(state, *workspace);
 }
 
 asio::awaitable<bool> RequestForwarder::awaitUsageDecision(ForwardingState& state)
@@ -331,18 +333,18 @@
     if (!state.usage.isPending)
         co_return true;
     const RoutingTablePointer table = state.routingTable;
-    const Tenant& tenant = *table->findTenantByName(state.limitedTenantName);
+    const Workspace& workspace = *table->findWorkspaceByName(state.limitedWorkspaceName);
     const SteadyTime waitingSince = this->dependencies.clock.now();
     while (state.usage.isPending) {
         co_await this->pause(waitCheckInterval);
-        state.usage = this->dependencies.usageLimiter.continueWaiting(tenant, state.usage.waitsUntil);
+        state.usage = this->dependencies.usageLimiter.continueWaiting(workspace, state.usage.waitsUntil);
     }
     this->dependencies.metrics.observeSeconds(
         "wagtailrack_usage_wait_seconds", "", millisecondsSince(waitingSince, this->dependencies.clock.now()) / 1000);
-    co_return this->applyUsageDecision(state, tenant);
+    co_return this->applyUsageDecision(state, workspace);
 }
 
-bool RequestForwarder::applyUsageDecision(ForwardingState& state, const Tenant& tenant)
+bool RequestForwarder::applyUsageDecision(ForwardingState& state, const Workspace& workspace)
 {
     const UsageDecision& usage = state.usage;
     if (usage.isAllowed || usage.isPending)
@@ -352,11 +354,11 @@
     state.exchange->response
         = makeResponse(http::status::too_many_requests, std::string(usageLimitOutcome) + "\n", seconds);
     state.outcome = usageLimitOutcome;
-    this->dependencies.metrics.count("wagtailrack_usage_refused_total", "tenant=\"" + tenant.name + "\"");
+    this->dependencies.metrics.count("wagtailrack_usage_refused_total", "workspace=\"" + workspace.name + "\"");
     if (usage.isFirstRefusal)
         this->dependencies.log.write(LogCategory::ProcessState, "usage-limit-reached",
-            { { "tenant", tenant.name }, { "rate_per_s", static_cast<int64_t>(tenant.requestsPerSecond) },
-                { "burst", static_cast<int64_t>(tenant.burst) },
+            { { "workspace", workspace.name }, { "rate_per_s", static_cast<int64_t>(workspace.requestsPerSecond) },
+                { "burst", static_cast<int64_t>(workspace.burst) },
                 { "retry_ms", static_cast<int64_t>(seconds * 1000) } });
     return false;
 }
@@ -366,7 +368,7 @@
     const bool isPromisedNotRun
         = !state.isServerResponse && state.exchange->response.result() == http::status::service_unavailable;
     if (state.usage.isAllowed && !state.isPossiblyExecuted && (isPromisedNotRun || state.sendCount == 0))
-        this->dependencies.usageLimiter.refund(state.limitedTenantName, state.usage.refundableUntil);
+        this->dependencies.usageLimiter.refund(state.limitedWorkspaceName, state.usage.refundableUntil);
 }
 
 bool RequestForwarder::prepareRequest(ForwardingState& state)
@@ -401,7 +403,7 @@
     this->updateInstanceCounts();
     const FleetBounds& bounds = this->dependencies.settings.bounds;
     this->retryTokenBuckets[state.serviceName].recordRequest(bounds.retryRatio, this->retrySlackPerInstance());
-    state.isBeyondTenantShare = this->overloadAdmission.recordArrival(admissionRequestOf(state));
+    state.isBeyondWorkspaceShare = this->overloadAdmission.recordArrival(admissionRequestOf(state));
     return true;
 }
 
@@ -466,14 +468,14 @@
 
 AdmissionRequest RequestForwarder::admissionRequestOf(const ForwardingState& state)
 {
-    return { state.serviceName, state.rule.name, state.tenantName, state.priority, state.rule.targetLatencyMs,
+    return { state.serviceName, state.rule.name, state.workspaceName, state.priority, state.rule.targetLatencyMs,
         state.isReturning };
 }
 
 bool RequestForwarder::admit(ForwardingState& state, const PlacementChoice& choice)
 {
     const AdmissionRequest request = admissionRequestOf(state);
-    state.admission = this->overloadAdmission.decide(request, state.isBeyondTenantShare, choice);
+    state.admission = this->overloadAdmission.decide(request, state.isBeyondWorkspaceShare, choice);
     const std::string labels = "priority=\"" + std::to_string(state.priority) + "\"";
     if (state.admission.outcome == AdmissionOutcome::Send) {
         if (!state.isCountedAsSent)
@@ -570,11 +572,11 @@
     call->request = state.exchange->request;
     call->requestMemory = state.exchange->requestMemory;
     removeHopByHopHeaders(call->request);
-    if (state.routingTable->hasTenants()) {
+    if (state.routingTable->hasWorkspaces()) {
         call->request.erase(http::field::authorization);
-        call->request.erase(headers.tenant);
-        if (!state.tenantName.empty())
-            call->request.set(headers.tenant, state.tenantName);
+        call->request.erase(headers.workspace);
+        if (!state.workspaceName.empty())
+            call->request.set(headers.workspace, state.workspaceName);
     }
     call->request.version(11);
     call->request.prepare_payload();
@@ -897,7 +899,7 @@
         = state.isServerResponse && !headerValue(response.base(), this->dependencies.headers.responseSeal).empty();
     this->countResponse(response.result_int(), state.isServerResponse ? "server" : "instance");
     std::vector<LogField> fields { { "id", state.requestId }, { "request", toString(state.fingerprint) },
-        { "route", state.rule.name }, { "tenant", state.tenantName },
+        { "route", state.rule.name }, { "workspace", state.workspaceName },
         { "version", state.routingTable ? state.routingTable->version() : 0 },
         { "configuration_age_ms", this->configurationAgeMs() }, { "service", state.serviceName },
         { "server", state.lastServerId }, { "sends", state.sendCount },
--- a/src/edge/src/RoutingTable.cpp
+++ b/src/edge/src/RoutingTable.cpp
@@ -7,12 +7,12 @@
 namespace wagtailrack::edge {
 
 RoutingTable::RoutingTable(
-    uint64_t version, CallerLimits limits, RoutesByHost hosts, ServicesByName services, TenantDirectory directory)
+    uint64_t version, CallerLimits limits, RoutesByHost hosts, ServicesByName services, WorkspaceDirectory directory)
     : versionNumber(version)
     , callerLimits(limits)
     , routesByHost(std::move(hosts))
     , servicesByName(std::move(services))
-    , tenants(std::move(directory))
+    , workspaces(std::move(directory))
 {
     this->callerLimits.configurationVersion = version;
     this->indexByHost.reserve(this->routesByHost.size());
--- a/src/edge/src/UsageExchange.cpp
+++ b/src/edge/src/UsageExchange.cpp
@@ -18,16 +18,20 @@
 constexpr Milliseconds hubExclusionTime(4000);
 // A request that is unanswered for this long, about ten round trips within a region, also goes to another domain's hub.
 constexpr Milliseconds fallbackDelay(100);
-// A hub counts an instance for this long after a report: three lost ones are tolerated.
-constexpr Milliseconds reportValidity(1000);
+// A hub counts an instance for this long after a report: two lost ones are tolerated.
+constexpr Milliseconds reportValidity(750);
 // After this, the former hub no longer counts an instance, even if its last report took a second to arrive.
 constexpr Milliseconds shareMoveTime = reportValidity + Milliseconds(1000);
+// Time after the start in which the share of the process that this one replaces may be counted by another hub. Shorter
+// than after a change of the hub: a report that is still on its way is delayed by the network alone, since its sender
+// has ended.
+constexpr Milliseconds replacedShareTime = reportValidity;
 // Instances of the domain keep their part for this long after they were last known to be alive: they may run on, cut
 // off from this one.
 constexpr Milliseconds instanceValidity(60'000);
 // A longer time between two calls is a pause of the process.
 constexpr Milliseconds pauseThreshold(500);
-// Hubs that are asked for a loan of one tenant at a time, and the smallest amount for which a further one is asked.
+// Hubs that are asked for a loan of one workspace at a time, and the smallest amount for which a further one is asked.
 constexpr size_t maximumLenders = 8;
 constexpr uint32_t tokensPerLender = 2;
 // A hub that lent less than it was asked for is asked again after this time.
@@ -45,32 +49,31 @@
     , bounds(bounds)
     , hub(clock)
     , lastCollectedAt(clock.now())
-    // The process that this one replaces may have reported to another hub.
     , hubAnsweredAt(clock.now())
-    , shareMovesAt(clock.now() + shareMoveTime)
+    , shareMovesAt(clock.now() + replacedShareTime)
 {
 }
 
-void UsageExchange::setTenants(const std::deque<Tenant>& tenants)
+void UsageExchange::setWorkspaces(const std::deque<Workspace>& workspaces)
 {
     this->limits.clear();
-    std::map<TenantKey, UsageBucketSize> sizes;
+    std::map<WorkspaceKey, UsageBucketSize> sizes;
     const size_t ownDomain = this->topology.ownDomainIndex();
-    for (const Tenant& tenant : tenants) {
-        if (tenant.requestsPerSecond <= 0)
+    for (const Workspace& workspace : workspaces) {
+        if (workspace.requestsPerSecond <= 0)
             continue;
-        const UsageBucketSize size = usageBucketSize(tenant, this->bounds);
+        const UsageBucketSize size = usageBucketSize(workspace, this->bounds);
         const std::vector<size_t> domains
-            = usageDomains(tenant.name, size, std::max<size_t>(this->topology.domainCount(), 1));
+            = usageDomains(workspace.name, size, std::max<size_t>(this->topology.domainCount(), 1));
         const auto parts = static_cast<double>(domains.size());
-        TenantLimit& limit = this->limits[tenantKey(tenant.name)];
+        WorkspaceLimit& limit = this->limits[workspaceKey(workspace.name)];
         for (const size_t domain : domains) {
             if (domain == ownDomain)
                 limit.size = { size.tokensPerSecond / parts, size.depth / parts };
             else
                 limit.lenders.push_back({ domain, {} });
         }
-        sizes[tenantKey(tenant.name)] = limit.size;
+        sizes[workspaceKey(workspace.name)] = limit.size;
     }
     this->hub.setBuckets(sizes);
 }
@@ -193,7 +196,7 @@
     const SteadyTime now = this->clock.now();
     // Those that probably have tokens, then those of the own region, each in random order.
     std::vector<std::pair<std::pair<int, uint64_t>, size_t>> ranked;
-    for (const Lender& lender : this->limits[need.tenant].lenders) {
+    for (const Lender& lender : this->limits[need.workspace].lenders) {
         if (!this->otherHubs.contains(lender.domain))
             continue;
         const bool isDenied = now < lender.deniedUntil;
@@ -207,7 +210,7 @@
         = std::clamp<size_t>(need.neededTokens / tokensPerLender, 1, std::min<size_t>(ranked.size(), maximumLenders));
     const auto tokens = static_cast<uint32_t>((need.neededTokens + count - 1) / count);
     for (size_t index = 0; index < count; ++index)
-        needsByDomain[ranked[index].second].push_back({ need.tenant, tokens, 0, 0 });
+        needsByDomain[ranked[index].second].push_back({ need.workspace, tokens, 0, 0 });
 }
 
 void UsageExchange::requestLoans()
@@ -235,9 +238,9 @@
     for (const UsageNeed& need : request.needs) {
         uint32_t lent = 0;
         for (const UsageAmount& amount : grant.amounts)
-            lent += amount.tenant == need.tenant ? amount.tokens : 0;
-        this->hub.addLoan(need.tenant, need.neededTokens, lent, request.sentAt + UsageHub::loanValidity);
-        const auto limit = this->limits.find(need.tenant);
+            lent += amount.workspace == need.workspace ? amount.tokens : 0;
+        this->hub.addLoan(need.workspace, need.neededTokens, lent, request.sentAt + UsageHub::loanValidity);
+        const auto limit = this->limits.find(need.workspace);
         if (lent >= need.neededTokens || limit == this->limits.end())
             continue;
         for (Lender& lender : limit->second.lenders) {
@@ -291,7 +294,7 @@
         return;
     }
     for (const UsageAmount& amount : grant.amounts)
-        this->limiter.addTokens(amount.tenant, amount.tokens, request.sentAt + UsageHub::grantValidity);
+        this->limiter.addTokens(amount.workspace, amount.tokens, request.sentAt + UsageHub::grantValidity);
 }
 
 bool UsageExchange::receive(uint32_t sender, std::string_view bytes)
--- a/src/edge/src/UsageHub.cpp
+++ b/src/edge/src/UsageHub.cpp
@@ -10,10 +10,11 @@
 
 namespace {
 
-// Rate of the buckets relative to a tenant's limit: what exceeds 1 covers tokens that expire unused, of which there are
-// few, because most are granted to requests that wait. The rest of the bound is the buckets' depth.
+// Rate of the buckets relative to a workspace's limit: what exceeds 1 covers tokens that expire unused, of which there
+// are few, because most are granted to requests that wait. The rest of the bound is the buckets' depth.
 constexpr double rateMargin = 1.05;
-// Part of the bound's slack that increases the rate: for small tenants a few tokens that expire are much of the limit.
+// Part of the bound's slack that increases the rate: for small workspaces a few tokens that expire are much of the
+// limit.
 constexpr double slackForRate = 0.5;
 // Smallest depth, as a time at the limit. Below it, requests of one interval between messages would empty a bucket.
 constexpr double minimumDepthSeconds = 0.3;
@@ -40,12 +41,12 @@
 
 }
 
-UsageBucketSize usageBucketSize(const Tenant& tenant, const FleetBounds& bounds)
+UsageBucketSize usageBucketSize(const Workspace& workspace, const FleetBounds& bounds)
 {
     const double window = static_cast<double>(bounds.usageWindowMs) / 1000;
-    const double limit = tenant.requestsPerSecond;
+    const double limit = workspace.requestsPerSecond;
     const double total
-        = (limit * window + tenant.burst) * (1 + bounds.usageOverage) + bounds.usageSlack - roundingReserve;
+        = (limit * window + workspace.burst) * (1 + bounds.usageOverage) + bounds.usageSlack - roundingReserve;
     if (limit <= 0 || total <= 0)
         return {};
     // What is used in a window left the bucket in the window or in a token's lifetime before it.
@@ -55,11 +56,11 @@
     return { (total - depth) / span, depth };
 }
 
-std::vector<size_t> usageDomains(std::string_view tenantName, const UsageBucketSize& size, size_t domainCount)
+std::vector<size_t> usageDomains(std::string_view workspaceName, const UsageBucketSize& size, size_t domainCount)
 {
     std::vector<std::pair<uint64_t, size_t>> ranked;
     for (size_t domain = 0; domain < domainCount; ++domain)
-        ranked.emplace_back(hash64(tenantName, domain), domain);
+        ranked.emplace_back(hash64(workspaceName, domain), domain);
     std::sort(ranked.begin(), ranked.end());
     const size_t count = std::clamp<size_t>(static_cast<size_t>(size.depth / minimumDomainDepth), 1, domainCount);
     std::vector<size_t> domains;
@@ -74,7 +75,7 @@
 {
 }
 
-void UsageHub::removeOutdated(TenantState& state) const
+void UsageHub::removeOutdated(WorkspaceState& state) const
 {
     const SteadyTime now = this->clock.now();
     std::erase_if(state.loans, [now](const TimedAmount& loan) { return loan.validUntil <= now; });
@@ -94,7 +95,7 @@
     return sum;
 }
 
-int64_t UsageHub::unmetNeed(const TenantState& state) noexcept
+int64_t UsageHub::unmetNeed(const WorkspaceState& state) noexcept
 {
     int64_t sum = 0;
     for (const auto& [sender, need] : state.needs)
@@ -102,7 +103,7 @@
     return sum;
 }
 
-double UsageHub::demand(const TenantState& state) noexcept
+double UsageHub::demand(const WorkspaceState& state) noexcept
 {
     double sum = 0;
     for (const auto& [sender, need] : state.needs)
@@ -110,7 +111,7 @@
     return sum;
 }
 
-void UsageHub::take(TenantState& state, int64_t amount)
+void UsageHub::take(WorkspaceState& state, int64_t amount)
 {
     // Loans expire, tokens in the bucket do not.
     while (amount > 0 && !state.loans.empty()) {
@@ -124,11 +125,11 @@
     state.tokens -= static_cast<double>(amount);
 }
 
-void UsageHub::setBuckets(const std::map<TenantKey, UsageBucketSize>& sizes)
+void UsageHub::setBuckets(const std::map<WorkspaceKey, UsageBucketSize>& sizes)
 {
     std::erase_if(this->states, [&sizes](const auto& entry) { return !sizes.contains(entry.first); });
-    for (const auto& [tenant, size] : sizes) {
-        TenantState& state = this->states[tenant];
+    for (const auto& [workspace, size] : sizes) {
+        WorkspaceState& state = this->states[workspace];
         state.size = size;
         state.tokens = std::min(state.tokens, size.depth * this->currentFraction);
     }
@@ -143,7 +144,7 @@
     // For the time that has passed, a part that was not held throughout does not count.
     const double refillFraction = std::min(fraction, this->currentFraction);
     this->currentFraction = fraction;
-    for (auto& [tenant, state] : this->states) {
+    for (auto& [workspace, state] : this->states) {
         state.tokens = std::min(
             state.tokens + state.size.tokensPerSecond * refillFraction * elapsed, state.size.depth * fraction);
     }
@@ -152,7 +153,7 @@
 void UsageHub::forgetInstances()
 {
     this->currentFraction = 0;
-    for (auto& [tenant, state] : this->states) {
+    for (auto& [workspace, state] : this->states) {
         state.tokens = 0;
         state.loans.clear();
         state.expectedLoans.clear();
@@ -164,10 +165,10 @@
 {
     std::vector<UsageAmount> grants;
     for (const UsageNeed& need : needs) {
-        const auto found = this->states.find(need.tenant);
+        const auto found = this->states.find(need.workspace);
         if (found == this->states.end())
             continue;
-        TenantState& state = found->second;
+        WorkspaceState& state = found->second;
         this->removeOutdated(state);
         const auto inBucket = static_cast<int64_t>(state.tokens);
         const double reserve = prefetchReserve * state.size.depth * this->currentFraction;
@@ -179,7 +180,7 @@
         take(state, granted);
         state.needs[sender] = { need.demandHundredths / demandUnitsPerRequest, unmet, this->clock.now() };
         if (granted > 0)
-            grants.push_back({ need.tenant, static_cast<uint32_t>(granted) });
+            grants.push_back({ need.workspace, static_cast<uint32_t>(granted) });
     }
     return grants;
 }
@@ -188,10 +189,10 @@
 {
     std::vector<UsageAmount> loans;
     for (const UsageNeed& need : needs) {
-        const auto found = this->states.find(need.tenant);
+        const auto found = this->states.find(need.workspace);
         if (found == this->states.end())
             continue;
-        TenantState& state = found->second;
+        WorkspaceState& state = found->second;
         this->removeOutdated(state);
         const double ownRate = std::min(demand(state), state.size.tokensPerSecond * this->currentFraction);
         const double spare = state.tokens - ownRate * loanSeconds - static_cast<double>(unmetNeed(state));
@@ -200,7 +201,7 @@
             continue;
         // Never what this hub has borrowed itself: each loan would renew the validity of its tokens.
         state.tokens -= static_cast<double>(amount);
-        loans.push_back({ need.tenant, static_cast<uint32_t>(amount) });
+        loans.push_back({ need.workspace, static_cast<uint32_t>(amount) });
     }
     return loans;
 }
@@ -209,7 +210,7 @@
 {
     const SteadyTime now = this->clock.now();
     std::vector<UsageNeed> needs;
-    for (auto& [tenant, state] : this->states) {
+    for (auto& [workspace, state] : this->states) {
         this->removeOutdated(state);
         const double excess
             = std::max(0.0, demand(state) - state.size.tokensPerSecond * this->currentFraction) * loanSeconds;
@@ -217,18 +218,18 @@
         const int64_t wanted = unmetNeed(state) + static_cast<int64_t>(excess) - available;
         if (wanted <= 0)
             continue;
-        needs.push_back({ tenant, static_cast<uint32_t>(wanted), 0, 0 });
+        needs.push_back({ workspace, static_cast<uint32_t>(wanted), 0, 0 });
         state.expectedLoans.push_back({ wanted, now + loanResponseTime });
     }
     return needs;
 }
 
-void UsageHub::addLoan(TenantKey tenant, uint32_t requested, uint32_t lent, SteadyTime validUntil)
+void UsageHub::addLoan(WorkspaceKey workspace, uint32_t requested, uint32_t lent, SteadyTime validUntil)
 {
-    const auto found = this->states.find(tenant);
+    const auto found = this->states.find(workspace);
     if (found == this->states.end())
         return;
-    TenantState& state = found->second;
+    WorkspaceState& state = found->second;
     // What was not lent is no longer expected, so that it can be asked for elsewhere.
     int64_t answered = requested;
     for (TimedAmount& expected : state.expectedLoans) {
--- a/src/edge/src/UsageLimiter.cpp
+++ b/src/edge/src/UsageLimiter.cpp
@@ -15,13 +15,13 @@
 constexpr double prefetchSeconds = 0.15;
 // After a request waited in vain, no more requests wait than will probably get a token, for this long.
 constexpr Milliseconds denialValidity(1000);
-// Requests that wait while no request of the tenant has waited in vain.
+// Requests that wait while no request of the workspace has waited in vain.
 constexpr size_t maximumWaitingUndenied = 64;
-// A tenant without requests for this long has no state. Ten times the time over which its demand is averaged.
+// A workspace without requests for this long has no state. Ten times the time over which its demand is averaged.
 constexpr Milliseconds stateValidity(5000);
 // A refusal after this long without one begins a new report to the operator.
 constexpr Milliseconds refusalReportInterval(10'000);
-// Bounds of the time after which a refused request is told to come back. A token for a tenant without grants is
+// Bounds of the time after which a refused request is told to come back. A token for a workspace without grants is
 // expected after the lower one at the earliest, and the limit has been given out anew after the upper one.
 constexpr double minimumRetrySeconds = 0.1;
 constexpr double maximumRetrySeconds = 5;
@@ -32,7 +32,10 @@
 
 }
 
-TenantKey tenantKey(std::string_view tenantName) noexcept { return static_cast<TenantKey>(hash64(tenantName)); }
+WorkspaceKey workspaceKey(std::string_view workspaceName) noexcept
+{
+    return static_cast<WorkspaceKey>(hash64(workspaceName));
+}
 
 void DecayingRate::add(double count, SteadyTime now) noexcept
 {
@@ -50,7 +53,7 @@
 {
 }
 
-void UsageLimiter::removeOutdated(TenantState& state) const
+void UsageLimiter::removeOutdated(WorkspaceState& state) const
 {
     const SteadyTime now = this->clock.now();
     while (!state.tokens.empty() && state.tokens.front().validUntil <= now)
@@ -59,7 +62,7 @@
         state.waiting.pop_front();
 }
 
-size_t UsageLimiter::tokenCount(const TenantState& state) noexcept
+size_t UsageLimiter::tokenCount(const WorkspaceState& state) noexcept
 {
     size_t count = 0;
     for (const Tokens& tokens : state.tokens)
@@ -67,7 +70,7 @@
     return count;
 }
 
-UsageDecision UsageLimiter::takeToken(TenantState& state)
+UsageDecision UsageLimiter::takeToken(WorkspaceState& state)
 {
     Tokens& oldest = state.tokens.front();
     const SteadyTime validUntil = oldest.validUntil;
@@ -79,7 +82,7 @@
     return decision;
 }
 
-size_t UsageLimiter::maximumWaiting(const TenantState& state) const
+size_t UsageLimiter::maximumWaiting(const WorkspaceState& state) const
 {
     const SteadyTime now = this->clock.now();
     if (now - state.deniedAt >= denialValidity)
@@ -89,7 +92,7 @@
     return std::clamp<size_t>(static_cast<size_t>(expected), 1, maximumWaitingUndenied);
 }
 
-UsageDecision UsageLimiter::refuse(TenantState& state) const
+UsageDecision UsageLimiter::refuse(WorkspaceState& state) const
 {
     const SteadyTime now = this->clock.now();
     const double grantedPerSecond = std::max(state.granted.perSecond(now), 1 / maximumRetrySeconds);
@@ -102,14 +105,14 @@
     return decision;
 }
 
-UsageDecision UsageLimiter::admit(const Tenant& tenant)
+UsageDecision UsageLimiter::admit(const Workspace& workspace)
 {
     UsageDecision decision;
-    decision.isAllowed = tenant.requestsPerSecond <= 0;
+    decision.isAllowed = workspace.requestsPerSecond <= 0;
     if (decision.isAllowed)
         return decision;
     const SteadyTime now = this->clock.now();
-    TenantState& state = this->states[tenantKey(tenant.name)];
+    WorkspaceState& state = this->states[workspaceKey(workspace.name)];
     this->removeOutdated(state);
     state.demand.add(1, now);
     state.lastRequestAt = now;
@@ -122,13 +125,13 @@
     state.waiting.push_back(waitsUntil);
     // An instance that is its own hub has the token at once.
     this->demandHook();
-    return this->continueWaiting(tenant, waitsUntil);
+    return this->continueWaiting(workspace, waitsUntil);
 }
 
-UsageDecision UsageLimiter::continueWaiting(const Tenant& tenant, SteadyTime waitsUntil)
+UsageDecision UsageLimiter::continueWaiting(const Workspace& workspace, SteadyTime waitsUntil)
 {
     const SteadyTime now = this->clock.now();
-    TenantState& state = this->states[tenantKey(tenant.name)];
+    WorkspaceState& state = this->states[workspaceKey(workspace.name)];
     this->removeOutdated(state);
     const auto entry = std::find(state.waiting.begin(), state.waiting.end(), waitsUntil);
     // The requests that wait longest get the tokens.
@@ -147,17 +150,17 @@
     return this->refuse(state);
 }
 
-void UsageLimiter::refund(std::string_view tenantName, SteadyTime refundableUntil)
+void UsageLimiter::refund(std::string_view workspaceName, SteadyTime refundableUntil)
 {
     if (this->clock.now() < refundableUntil)
-        this->addTokens(tenantKey(tenantName), 1, refundableUntil);
+        this->addTokens(workspaceKey(workspaceName), 1, refundableUntil);
 }
 
 std::vector<UsageNeed> UsageLimiter::collectNeeds()
 {
     const SteadyTime now = this->clock.now();
     std::vector<UsageNeed> needs;
-    for (auto& [tenant, state] : this->states) {
+    for (auto& [workspace, state] : this->states) {
         this->removeOutdated(state);
         const auto tokens = static_cast<double>(tokenCount(state));
         const auto waiting = static_cast<double>(state.waiting.size());
@@ -167,17 +170,17 @@
         const double wanted = std::floor(demand * prefetchSeconds);
         const double prefetch = std::max(0.0, waiting + wanted - tokens - needed);
         if (needed + prefetch > 0)
-            needs.push_back({ tenant, toCount(needed), toCount(prefetch), toCount(demand * 100) });
+            needs.push_back({ workspace, toCount(needed), toCount(prefetch), toCount(demand * 100) });
     }
     return needs;
 }
 
-void UsageLimiter::addTokens(TenantKey tenant, size_t count, SteadyTime validUntil)
+void UsageLimiter::addTokens(WorkspaceKey workspace, size_t count, SteadyTime validUntil)
 {
     const SteadyTime now = this->clock.now();
     if (count == 0 || validUntil <= now)
         return;
-    TenantState& state = this->states[tenant];
+    WorkspaceState& state = this->states[workspace];
     state.granted.add(static_cast<double>(count), now);
     const auto position = std::upper_bound(state.tokens.begin(), state.tokens.end(), validUntil,
         [](SteadyTime time, const Tokens& tokens) { return time < tokens.validUntil; });
--- a/src/edge/src/TenantDirectory.cpp
+++ b/src/edge/src/WorkspaceDirectory.cpp
@@ -1,4 +1,4 @@
-#include <wagtailrack/edge/TenantDirectory.h>
+#include <wagtailrack/edge/WorkspaceDirectory.h>
 
 #include <wagtailrack/base/Hash.h>
 
@@ -30,41 +30,41 @@
 
 }
 
-TenantDirectory::TenantDirectory()
+WorkspaceDirectory::WorkspaceDirectory()
     : hashSeed(randomSeed())
 {
 }
 
-bool TenantDirectory::add(Tenant tenant, const std::vector<std::string>& keys)
+bool WorkspaceDirectory::add(Workspace workspace, const std::vector<std::string>& keys)
 {
-    if (this->tenantsByName.contains(tenant.name)
+    if (this->workspacesByName.contains(workspace.name)
         || std::any_of(keys.begin(), keys.end(), [this](const std::string& key) { return this->findByKey(key); }))
         return false;
-    this->tenants.push_back(std::move(tenant));
-    const Tenant& added = this->tenants.back();
-    this->tenantsByName[added.name] = &added;
+    this->workspaces.push_back(std::move(workspace));
+    const Workspace& added = this->workspaces.back();
+    this->workspacesByName[added.name] = &added;
     for (const std::string& key : keys) {
-        // The same tenant may list a key twice.
+        // The same workspace may list a key twice.
         if (!this->findByKey(key))
             this->keysByHash.emplace(hash64(key, this->hashSeed), Key { key, &added });
     }
     return true;
 }
 
-const Tenant* TenantDirectory::findByKey(std::string_view key) const noexcept
+const Workspace* WorkspaceDirectory::findByKey(std::string_view key) const noexcept
 {
     const auto [first, last] = this->keysByHash.equal_range(hash64(key, this->hashSeed));
     for (auto entry = first; entry != last; ++entry) {
         if (isEqualInConstantTime(entry->second.text, key))
-            return entry->second.tenant;
+            return entry->second.workspace;
     }
     return nullptr;
 }
 
-const Tenant* TenantDirectory::findByName(std::string_view name) const noexcept
+const Workspace* WorkspaceDirectory::findByName(std::string_view name) const noexcept
 {
-    const auto found = this->tenantsByName.find(name);
-    return found == this->tenantsByName.end() ? nullptr : found->second;
+    const auto found = this->workspacesByName.find(name);
+    return found == this->workspacesByName.end() ? nullptr : found->second;
 }
 
 }
--- a/src/edge/tests/OverloadAdmissionTest.cpp
+++ b/src/edge/tests/OverloadAdmissionTest.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-AdmissionRequest requestOf(const char* route, int64_t priority, const char* tenant = "")
+AdmissionRequest requestOf(const char* route, int64_t priority, const char* workspace = "")
 {
-    return { "prices", route, tenant, priority, 600, false };
+    return { "prices", route, workspace, priority, 600, false };
 }
 
 PlacementChoice choiceOf(double utilisation, double waitMs)
@@ -110,9 +110,9 @@
     CHECK_TRUE(this->outcome(requestOf("tile", 2), choice) == AdmissionOutcome::Overload);
 }
 
-// Guards against a tenant with eight times its usual traffic that delays others, against treating usual traffic as a
+// Guards against a workspace with eight times its usual traffic that delays others, against treating usual traffic as a
 // burst, and against a decision before the usual traffic is known.
-TEST(OverloadAdmission, burstOfATenantIsBeyondItsShare)
+TEST(OverloadAdmission, burstOfAWorkspaceIsBeyondItsShare)
 {
     const auto beyondShare = [this](int rounds, int requestsOfSmall) {
         int count = 0;
@@ -128,18 +128,19 @@
     this->admission = settled;
     LONGS_EQUAL(0, beyondShare(200, 1));
     CHECK_TRUE(beyondShare(10, 8) >= 40);
-    CHECK_TRUE(this->outcome(requestOf("tile", 1, "small"), choiceOf(1, 300), true) == AdmissionOutcome::TenantShare);
+    CHECK_TRUE(
+        this->outcome(requestOf("tile", 1, "small"), choiceOf(1, 300), true) == AdmissionOutcome::WorkspaceShare);
     CHECK_TRUE(this->outcome(requestOf("tile", 1, "large"), choiceOf(1, 300)) == AdmissionOutcome::Send);
 }
 
-// Guards against memory that grows with the names of tenants.
-TEST(OverloadAdmission, numberOfTenantsIsBounded)
+// Guards against memory that grows with the names of workspaces.
+TEST(OverloadAdmission, numberOfWorkspacesIsBounded)
 {
-    for (int tenant = 0; tenant < 12000; ++tenant)
-        this->admission.recordArrival(requestOf("tile", 1, std::to_string(tenant).c_str()));
-    CHECK_TRUE(this->admission.tenantCount("prices") <= OverloadAdmission::maximumTenants);
+    for (int workspace = 0; workspace < 12000; ++workspace)
+        this->admission.recordArrival(requestOf("tile", 1, std::to_string(workspace).c_str()));
+    CHECK_TRUE(this->admission.workspaceCount("prices") <= OverloadAdmission::maximumWorkspaces);
     this->arrive(requestOf("tile", 1), 5000);
-    LONGS_EQUAL(0, this->admission.tenantCount("prices"));
+    LONGS_EQUAL(0, this->admission.workspaceCount("prices"));
 }
 
 // 1.3 times the capacity. Guards against queues in which all responses are late, against less urgent requests that are
@@ -165,8 +166,8 @@
     }
 }
 
-// Deployments without tenants whose routes have one priority. Guards against less worth in overload than by the score
-// alone, and against refusals at 0.6 of the capacity.
+// Deployments without workspaces whose routes have one priority. Guards against less worth in overload than by the
+// score alone, and against refusals at 0.6 of the capacity.
 TEST(OverloadAdmission, equalPrioritiesAreNotServedWorse)
 {
     const uint32_t seed = testSeed(1);
@@ -184,16 +185,17 @@
     }
 }
 
-// One tenant sends eight times its usual traffic for ten seconds, to a service with 0.7 of its capacity in use. Guards
-// against a burst whose costs the other tenants bear, and against refusing nearly all requests of the tenant.
-TEST(OverloadAdmission, burstOfATenantCostsThatTenantMost)
+// One workspace sends eight times its usual traffic for ten seconds, to a service with 0.7 of its capacity in use.
+// Guards against a burst whose costs the other workspaces bear, and against refusing nearly all requests of the
+// workspace.
+TEST(OverloadAdmission, burstOfAWorkspaceCostsThatWorkspaceMost)
 {
     const uint32_t seed = testSeed(1);
     simulation::OverloadLoad load = readAndPayLoad(0.7);
     for (simulation::OverloadRoute& route : load.routes)
         route.rule.priority = 1;
-    load.tenants = 20;
-    load.tenantSurge = 8;
+    load.workspaces = 20;
+    load.workspaceSurge = 8;
     load.seconds = 36;
     load.surgeFromSecond = 26;
     load.surgeToSecond = 36;
@@ -203,12 +205,12 @@
     load.isRetryAfterFromTarget = false;
     const simulation::OverloadResult before = simulation::OverloadRun(load, seed).execute();
     const auto worthOfOthers = [](const simulation::OverloadResult& result) {
-        const simulation::KindResult& bursting = result.byTenant.at("t3");
+        const simulation::KindResult& bursting = result.byWorkspace.at("t3");
         return (result.all.worth - bursting.worth) / (result.all.possibleWorth - bursting.possibleWorth);
     };
     CHECK_TEXT(worthOfOthers(admitted) > worthOfOthers(before), describeSeed(seed).c_str());
     CHECK_TEXT(worthOfOthers(admitted) > 0.85, describeSeed(seed).c_str());
-    CHECK_TEXT(worthOfOthers(admitted) > admitted.byTenant.at("t3").worthRatio(), describeSeed(seed).c_str());
+    CHECK_TEXT(worthOfOthers(admitted) > admitted.byWorkspace.at("t3").worthRatio(), describeSeed(seed).c_str());
     CHECK_TEXT(
-        admitted.byTenant.at("t3").servedRatio() > 0.25 * admitted.all.servedRatio(), describeSeed(seed).c_str());
+        admitted.byWorkspace.at("t3").servedRatio() > 0.25 * admitted.all.servedRatio(), describeSeed(seed).c_str());
 }
--- a/src/edge/tests/OverloadSimulation.h
+++ b/src/edge/tests/OverloadSimulation.h
@@ -7,7 +7,7 @@
 #include <cmath>
 #include <functional>
 
-// Simulates one service under overload: routes of different priorities, tenants, callers that return once after a
+// Simulates one service under overload: routes of different priorities, workspaces, callers that return once after a
 // refusal, and instances that decide with OverloadAdmission. Without a network and in simulated time.
 namespace wagtailrack::edge::simulation {
 
@@ -31,9 +31,9 @@
     int seconds = 24;
     int instancesPerDomain = 8;
     int serversPerDomain = 10;
-    int tenants = 0;
-    // Multiplies the traffic of tenant 3 during [surgeFromSecond, surgeToSecond).
-    double tenantSurge = 1;
+    int workspaces = 0;
+    // Multiplies the traffic of workspace 3 during [surgeFromSecond, surgeToSecond).
+    double workspaceSurge = 1;
     int surgeFromSecond = 0;
     int surgeToSecond = 0;
     // Relative amplitude of the wave of the domains' demand, a third of a period apart.
@@ -60,7 +60,7 @@
 struct OverloadResult {
     KindResult all;
     std::map<std::string, KindResult> byRoute;
-    std::map<std::string, KindResult> byTenant;
+    std::map<std::string, KindResult> byWorkspace;
 };
 
 inline OverloadRoute overloadRoute(const char* name, int64_t priority, int64_t targetMs, int64_t deadlineMs,
@@ -151,7 +151,7 @@
     // A caller's request over all its tries; times in simulated milliseconds.
     struct Request {
         const OverloadRoute* route = nullptr;
-        std::string tenant;
+        std::string workspace;
         std::string object;
         size_t domain = 0;
         double firstAtMs = 0;
@@ -162,7 +162,7 @@
         std::set<const BackendServer*> excludedServers;
         Instance* instance = nullptr;
         AdmissionRequest admission;
-        bool isBeyondTenantShare = false;
+        bool isBeyondWorkspaceShare = false;
     };
     using RequestPointer = std::shared_ptr<Request>;
 
@@ -213,18 +213,18 @@
         return this->nowMs >= this->load.surgeFromSecond * 1000.0 && this->nowMs < this->load.surgeToSecond * 1000.0;
     }
 
-    double tenantWeight(int tenant) const
+    double workspaceWeight(int workspace) const
     {
-        return std::pow(tenant + 1, -1.2) * (tenant == 3 && this->isSurge() ? this->load.tenantSurge : 1);
+        return std::pow(workspace + 1, -1.2) * (workspace == 3 && this->isSurge() ? this->load.workspaceSurge : 1);
     }
 
     void scheduleArrival()
     {
         double usual = 0;
         double now = 0;
-        for (int tenant = 0; tenant < this->load.tenants; ++tenant) {
-            usual += std::pow(tenant + 1, -1.2);
-            now += this->tenantWeight(tenant);
+        for (int workspace = 0; workspace < this->load.workspaces; ++workspace) {
+            usual += std::pow(workspace + 1, -1.2);
+            now += this->workspaceWeight(workspace);
         }
         const double rate = this->load.requestsPerSecond * (usual > 0 ? now / usual : 1);
         std::exponential_distribution<double> interarrivalMs(rate / 1000);
@@ -250,11 +250,11 @@
             weights.push_back(route.requestShare);
         request->route
             = &this->load.routes[std::discrete_distribution<size_t>(weights.begin(), weights.end())(this->random)];
-        if (this->load.tenants > 0) {
+        if (this->load.workspaces > 0) {
             weights.clear();
-            for (int tenant = 0; tenant < this->load.tenants; ++tenant)
-                weights.push_back(this->tenantWeight(tenant));
-            request->tenant
+            for (int workspace = 0; workspace < this->load.workspaces; ++workspace)
+                weights.push_back(this->workspaceWeight(workspace));
+            request->workspace
                 = "t" + std::to_string(std::discrete_distribution<int>(weights.begin(), weights.end())(this->random));
         }
         request->object = std::to_string(request->domain) + "/"
@@ -274,8 +274,8 @@
             return;
         change(this->result.all);
         change(this->result.byRoute[request.route->rule.name]);
-        if (!request.tenant.empty())
-            change(this->result.byTenant[request.tenant]);
+        if (!request.workspace.empty())
+            change(this->result.byWorkspace[request.workspace]);
     }
 
     void startTry(const RequestPointer& request)
@@ -285,9 +285,9 @@
         request->arrivedAtMs = this->nowMs;
         request->sends = 0;
         request->excludedServers.clear();
-        request->admission = { "prices", request->route->rule.name, request->tenant, request->route->rule.priority,
+        request->admission = { "prices", request->route->rule.name, request->workspace, request->route->rule.priority,
             request->route->rule.targetLatencyMs, request->isReturning };
-        request->isBeyondTenantShare = request->instance->admission.recordArrival(request->admission);
+        request->isBeyondWorkspaceShare = request->instance->admission.recordArrival(request->admission);
         this->attempt(request);
     }
 
@@ -321,7 +321,7 @@
     {
         if (this->load.policy == AdmissionPolicy::ScoreOnly)
             return shouldSend(choice, request.isReturning);
-        return request.instance->admission.decide(request.admission, request.isBeyondTenantShare, choice).outcome
+        return request.instance->admission.decide(request.admission, request.isBeyondWorkspaceShare, choice).outcome
             == AdmissionOutcome::Send;
     }
 
--- a/src/edge/tests/RegionSharesSimulationTest.cpp
+++ b/src/edge/tests/RegionSharesSimulationTest.cpp
@@ -59,7 +59,7 @@
     print("without shares", before, 10, 46);
     const simulation::Result result = simulation::run(simulation::Policy::Placement, load, seed);
     print("with shares", result, 10, 46);
-    CHECK_TEXT(poorToOthers(result, 10, 46) >= 0.87, describeSeed(seed).c_str());
+    CHECK_TEXT(poorToOthers(result, 10, 46) >= 0.9, describeSeed(seed).c_str());
     CHECK_TEXT(poorToOthers(result, 10, 46) > poorToOthers(before, 10, 46) + 0.15, describeSeed(seed).c_str());
     CHECK_TEXT(result.inTimeRatio() > before.inTimeRatio(), describeSeed(seed).c_str());
     for (const char* region : { "north", "south", "west" })
@@ -90,7 +90,7 @@
     print("lost", result, 18, 26);
     print("afterwards", result, 30, 46);
     CHECK_TEXT(result.inTimeRatioOf("south", 20, 26) >= 0.6, describeSeed(seed).c_str());
-    CHECK_TEXT(poorToOthers(result, 32, 46) >= 0.8, describeSeed(seed).c_str());
+    CHECK_TEXT(poorToOthers(result, 32, 46) >= 0.9, describeSeed(seed).c_str());
 }
 
 // The poor region is cut off for eight seconds. Guards against its objects being sent to servers that cannot be
@@ -109,7 +109,7 @@
     print("afterwards", result, 30, 46);
     CHECK_TEXT(result.inTimeRatioOf("south", 18, 24) >= 0.9 * before.inTimeRatioOf("south", 18, 24),
         describeSeed(seed).c_str());
-    CHECK_TEXT(poorToOthers(result, 32, 46) >= 0.8, describeSeed(seed).c_str());
+    CHECK_TEXT(poorToOthers(result, 32, 46) >= 0.9, describeSeed(seed).c_str());
 }
 
 // No load messages arrive for ten seconds. Guards against the shares of a region being given up with the messages.
--- a/src/edge/tests/UsageExchangeTest.cpp
+++ b/src/edge/tests/UsageExchangeTest.cpp
@@ -32,7 +32,7 @@
     return weights;
 }
 
-Tenant limited(double perSecond) { return { "mill", {}, perSecond, perSecond, {} }; }
+Workspace limited(double perSecond) { return { "mill", {}, perSecond, perSecond, {} }; }
 
 struct Fleet {
     size_t instances;
@@ -84,11 +84,11 @@
         CHECK_TEXT(fleet.servedShareOfLimit() >= 0.85, describeSeed(this->seed).c_str());
     }
 
-    // The tenant's usual demand is its limit / 1.6.
+    // The workspace's usual demand is its limit / 1.6.
     void checkSurge(UsageFleet & fleet)
     {
         const std::vector<double> even(fleet.instances.size(), 1);
-        const double limit = fleet.tenant.requestsPerSecond;
+        const double limit = fleet.workspace.requestsPerSecond;
         fleet.run(startMs, limit / 1.6, even);
         fleet.resetCounts();
         fleet.run(7000, 7.6 * limit / 1.6, even);
@@ -96,7 +96,7 @@
     }
 };
 
-// Guards against a tenant that is refused below its limit, because its requests arrive at a few instances.
+// Guards against a workspace that is refused below its limit, because its requests arrive at a few instances.
 TEST(UsageExchange, unevenDemandGetsTheWholeLimit)
 {
     for (const double limit : { 5.0, 40.0, 900.0 })
@@ -109,7 +109,7 @@
         this->checkUnevenDemand(large, limit);
 }
 
-// Guards against shares that stay where the tenant's callers were.
+// Guards against shares that stay where the workspace's callers were.
 TEST(UsageExchange, sharesFollowDemandToAnotherRegion)
 {
     for (const double limit : { 5.0, 40.0, 900.0 })
@@ -132,7 +132,7 @@
 
 // Guards against hubs that hold a share twice, and against tokens of messages that are late or were kept by a process
 // that stood still: loss, delays of a second, cuts between and inside domains, deaths, restarts and pauses, while the
-// tenant sends far more than its limit.
+// workspace sends far more than its limit.
 TEST(UsageExchange, faultsKeepTheSurgeWithinTheBound)
 {
     for (const double limit : { 5.0, 40.0, 300.0 }) {
@@ -173,7 +173,7 @@
     }
 }
 
-// Guards against a cut that takes the tenant's limit from one side, or that gives it to both.
+// Guards against a cut that takes the workspace's limit from one side, or that gives it to both.
 TEST(UsageExchange, bothSidesOfACutServeTheUsualDemand)
 {
     UsageFleet fleet(small.instances, small.domains, small.regions, limited(40), this->seed);
@@ -188,7 +188,7 @@
     this->checkBound(fleet);
 }
 
-// Guards against refusals of a tenant within its limit while its hub is replaced.
+// Guards against refusals of a workspace within its limit while its hub is replaced.
 TEST(UsageExchange, usualDemandIsServedAfterAHubHasDied)
 {
     UsageFleet fleet(small.instances, small.domains, small.regions, limited(40), this->seed);
@@ -210,7 +210,7 @@
     UsageFleet fleet(small.instances, small.domains, small.regions, limited(200), this->seed);
     const std::vector<double> even(small.instances, 1);
     fleet.run(startMs + 5000, 400, even);
-    fleet.setTenant(limited(20));
+    fleet.setWorkspace(limited(20));
     fleet.run(fleet.bounds.usageWindowMs, 400, even);
     fleet.resetCounts();
     fleet.run(6000, 400, even);
@@ -239,19 +239,19 @@
 {
     FakeClock clock;
     UsageLimiter limiter(clock);
-    const Tenant tenant = limited(10);
-    limiter.addTokens(tenantKey(tenant.name), 2, clock.now() + Milliseconds(300));
-    const UsageDecision first = limiter.admit(tenant);
+    const Workspace workspace = limited(10);
+    limiter.addTokens(workspaceKey(workspace.name), 2, clock.now() + Milliseconds(300));
+    const UsageDecision first = limiter.admit(workspace);
     CHECK_TRUE(first.isAllowed);
-    limiter.refund(tenant.name, first.refundableUntil);
-    CHECK_TRUE(limiter.admit(tenant).isAllowed);
+    limiter.refund(workspace.name, first.refundableUntil);
+    CHECK_TRUE(limiter.admit(workspace).isAllowed);
     clock.advance(Milliseconds(5000));
-    const UsageDecision waiting = limiter.admit(tenant);
+    const UsageDecision waiting = limiter.admit(workspace);
     CHECK_TRUE(waiting.isPending);
     // The token of a request that began before the pause is not returned.
-    limiter.refund(tenant.name, first.refundableUntil);
+    limiter.refund(workspace.name, first.refundableUntil);
     clock.advance(UsageLimiter::maximumWait);
-    const UsageDecision refused = limiter.continueWaiting(tenant, waiting.waitsUntil);
+    const UsageDecision refused = limiter.continueWaiting(workspace, waiting.waitsUntil);
     CHECK_FALSE(refused.isAllowed || refused.isPending);
     CHECK_TRUE(refused.retryAt > clock.now());
     CHECK_TRUE(limiter.admit({ "unlimited", {}, 0, 0, {} }).isAllowed);
--- a/src/edge/tests/UsageSimulation.h
+++ b/src/edge/tests/UsageSimulation.h
@@ -12,7 +12,7 @@
 #include <set>
 #include <vector>
 
-// Instances that exchange usage messages over simulated links, and callers of one tenant.
+// Instances that exchange usage messages over simulated links, and callers of one workspace.
 namespace wagtailrack::edge::simulation {
 
 class UsageFleet {
@@ -26,7 +26,7 @@
             , startedAt(owner.clock.now())
             , exchange(owner.clock, this->limiter, *this, owner.bounds)
         {
-            this->exchange.setTenants({ owner.tenant });
+            this->exchange.setWorkspaces({ owner.workspace });
         }
 
         uint32_t ownAddress() const override { return static_cast<uint32_t>(this->index + 1); }
@@ -36,7 +36,10 @@
         {
             return this->fleet.regionOf(domainIndex) == this->fleet.regionOf(this->index);
         }
-        bool isSettled() const override { return this->fleet.clock.now() - this->startedAt > Milliseconds(1500); }
+        bool isSettled() const override
+        {
+            return this->fleet.clock.now() - this->startedAt >= InstanceMembership::domainSettlingTime;
+        }
         std::vector<uint32_t> hubCandidates(size_t domainIndex) const override
         {
             std::vector<uint32_t> addresses;
@@ -56,10 +59,10 @@
         std::deque<SteadyTime> waitsUntil;
     };
 
-    UsageFleet(size_t instanceCount, size_t domains, size_t regions, Tenant limitedTenant, uint32_t seed)
+    UsageFleet(size_t instanceCount, size_t domains, size_t regions, Workspace limitedWorkspace, uint32_t seed)
         : domainTotal(domains)
         , regionTotal(regions)
-        , tenant(std::move(limitedTenant))
+        , workspace(std::move(limitedWorkspace))
         , groups(instanceCount, 0)
         , changedAt(instanceCount)
         , deadAt(instanceCount)
@@ -99,12 +102,12 @@
             this->instances[index]->pausedUntil = this->clock.now() + Milliseconds(ms);
     }
 
-    void setTenant(const Tenant& changed)
+    void setWorkspace(const Workspace& changed)
     {
-        this->tenant = changed;
+        this->workspace = changed;
         for (const auto& instance : this->instances) {
             if (instance)
-                instance->exchange.setTenants({ changed });
+                instance->exchange.setWorkspaces({ changed });
         }
     }
 
@@ -129,8 +132,8 @@
 
     double bound() const
     {
-        return (this->tenant.requestsPerSecond * static_cast<double>(this->bounds.usageWindowMs) / 1000
-                   + this->tenant.burst)
+        return (this->workspace.requestsPerSecond * static_cast<double>(this->bounds.usageWindowMs) / 1000
+                   + this->workspace.burst)
             * (1 + this->bounds.usageOverage)
             + this->bounds.usageSlack;
     }
@@ -143,12 +146,12 @@
         this->mostInWindow = 0;
     }
 
-    // What was served of the requests that the tenant may send in the time since resetCounts(). Random arrivals exceed
-    // a rate at times, so that not all of what is asked for at the limit is within it.
+    // What was served of the requests that the workspace may send in the time since resetCounts(). Random arrivals
+    // exceed a rate at times, so that not all of what is asked for at the limit is within it.
     double servedShareOfLimit() const
     {
         const double elapsed = std::chrono::duration<double>(this->clock.now() - this->countedSince).count();
-        const double allowed = std::min(static_cast<double>(this->asked), this->tenant.requestsPerSecond * elapsed);
+        const double allowed = std::min(static_cast<double>(this->asked), this->workspace.requestsPerSecond * elapsed);
         return static_cast<double>(this->served) / allowed;
     }
 
@@ -156,7 +159,7 @@
     FleetBounds bounds;
     size_t domainTotal;
     size_t regionTotal;
-    Tenant tenant;
+    Workspace workspace;
     std::vector<std::unique_ptr<Instance>> instances;
     double lossProbability = 0;
     // Added to the latency of each datagram, up to this much.
@@ -217,7 +220,7 @@
         ++this->asked;
         if (!this->isRunning(index))
             return;
-        const UsageDecision decision = this->instances[index]->limiter.admit(this->tenant);
+        const UsageDecision decision = this->instances[index]->limiter.admit(this->workspace);
         if (decision.isAllowed)
             this->recordServed(this->clock.now());
         if (!decision.isPending)
@@ -233,7 +236,7 @@
             return;
         Instance& instance = *this->instances[index];
         std::erase_if(instance.waitsUntil, [this, &instance](SteadyTime until) {
-            const UsageDecision decision = instance.limiter.continueWaiting(this->tenant, until);
+            const UsageDecision decision = instance.limiter.continueWaiting(this->workspace, until);
             if (decision.isAllowed)
                 this->recordServed(until - UsageLimiter::maximumWait);
             return !decision.isPending;
--- a/src/edge/tests/TenantDirectoryTest.cpp
+++ b/src/edge/tests/WorkspaceDirectoryTest.cpp
@@ -1,4 +1,4 @@
-#include <wagtailrack/edge/TenantDirectory.h>
+#include <wagtailrack/edge/WorkspaceDirectory.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -6,23 +6,23 @@
 
 using namespace wagtailrack::edge;
 
-TEST_GROUP(TenantDirectory)
+TEST_GROUP(WorkspaceDirectory)
 {
-    TenantDirectory directory;
+    WorkspaceDirectory directory;
 
     void setup() override
     {
-        Tenant first;
+        Workspace first;
         first.name = "first";
         CHECK_TRUE(this->directory.add(first, { "key-1", "key-2" }));
-        Tenant second;
+        Workspace second;
         second.name = "second";
         CHECK_TRUE(this->directory.add(second, { "key-3" }));
     }
 };
 
-// Guards against requests that are executed for another tenant, or with a key that is only similar to a valid one.
-TEST(TenantDirectory, onlyCompleteKeysAreFound)
+// Guards against requests that are executed for another workspace, or with a key that is only similar to a valid one.
+TEST(WorkspaceDirectory, onlyCompleteKeysAreFound)
 {
     STRCMP_EQUAL("first", this->directory.findByKey("key-2")->name.c_str());
     STRCMP_EQUAL("second", this->directory.findByKey("key-3")->name.c_str());
@@ -32,22 +32,22 @@
     POINTERS_EQUAL(nullptr, this->directory.findByName("key-1"));
 }
 
-// Guards against a key that stands for two tenants: its requests would count towards the limits of either.
-TEST(TenantDirectory, keyOrNameOfAnotherTenantIsRefused)
+// Guards against a key that stands for two workspaces: its requests would count towards the limits of either.
+TEST(WorkspaceDirectory, keyOrNameOfAnotherWorkspaceIsRefused)
 {
-    Tenant third;
+    Workspace third;
     third.name = "third";
     CHECK_FALSE(this->directory.add(third, { "key-4", "key-1" }));
     third.name = "first";
     CHECK_FALSE(this->directory.add(third, { "key-5" }));
-    LONGS_EQUAL(2, this->directory.tenantCount());
+    LONGS_EQUAL(2, this->directory.workspaceCount());
     LONGS_EQUAL(3, this->directory.keyCount());
 }
 
 // Guards against indexes that refer to the moved object: a directory is moved into its routing table.
-TEST(TenantDirectory, keysAreFoundAfterAMove)
+TEST(WorkspaceDirectory, keysAreFoundAfterAMove)
 {
-    const TenantDirectory moved(std::move(this->directory));
+    const WorkspaceDirectory moved(std::move(this->directory));
     STRCMP_EQUAL("first", moved.findByKey("key-1")->name.c_str());
     STRCMP_EQUAL("first", moved.findByName("first")->name.c_str());
 }
