RequestForwarder: a configuration that is withheld for a moment after the start does not replace the request's

Cause: while a store tells an era, an instance that has started withholds its configuration as long as a peer may have a newer one; a request that was prepared before would have used a null table. Found by reading the merged code; the two conditions were not seen together in a run.

--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -514,9 +514,10 @@
             co_await this->pause(waitCheckInterval);
             continue;
         }
-        // A request that has not been sent yet follows a version of the configuration that became active meanwhile.
+        // A request that has not been sent yet follows a version of the configuration that became active meanwhile. There
+        // may be none for a moment after the start, when a peer is known to have a newer one.
         const RoutingTablePointer table = this->dependencies.clusterState.routingTable();
-        if (table != state.routingTable && state.sendCount == 0) {
+        if (table && table != state.routingTable && state.sendCount == 0) {
             state.routingTable = table;
             if (!this->resolveRoute(state))
                 co_return;
