ClusterStateCache: instances without a configuration leave reading the store to their region's reader

Change: what counts is whether there is a copy, which polls of the reader keep current, not whether it was accepted. Ruled out: longer pauses between the reads, which would delay the first version.

Tests: RefusedConfiguration.onlyTheReaderReadsTheStore fails before; it, correctedVersionIsActivated, PeerUpdates, LargeConfiguration and StoreRollback pass after.

--- a/src/edge/src/ClusterStateCache.cpp
+++ b/src/edge/src/ClusterStateCache.cpp
@@ -415,8 +415,10 @@
 {
     while (true) {
         const int64_t ageMs = this->operatorItemsAgeMs();
+        // Also without a configuration: if the version in the copy was refused, reading it again does not help.
+        const bool hasCopy = this->operatorItemsRevision > StoreRevision::none();
         if (this->isWaitingForPeers()
-            || (!this->isRegionStoreReader() && this->activeRoutingTable
+            || (!this->isRegionStoreReader() && hasCopy
                 && (ageMs < storeFallbackAgeMs || this->clock.now() < this->fetchExpectedUntil))) {
             co_await this->sleep(ageCheckIntervalMs);
             continue;
