--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -514,8 +514,8 @@
             co_await this->pause(waitCheckInterval);
             continue;
         }
-        // A request that has not been sent yet follows a version of the configuration that became active meanwhile. There
-        // may be none for a moment after the start, when a peer is known to have a newer one.
+        // A request that has not been sent yet follows a version of the configuration that became active meanwhile.
+        // There may be none for a moment after the start, when a peer is known to have a newer one.
         const RoutingTablePointer table = this->dependencies.clusterState.routingTable();
         if (table && table != state.routingTable && state.sendCount == 0) {
             state.routingTable = table;
