--- a/src/edge/include/wagtailrack/edge/BackendFleet.h
+++ b/src/edge/include/wagtailrack/edge/BackendFleet.h
@@ -4,6 +4,7 @@
 #include <wagtailrack/base/Endpoint.h>
 #include <wagtailrack/edge/DepartedServers.h>
 #include <wagtailrack/edge/LoadMessages.h>
+#include <wagtailrack/edge/ServerCapacity.h>
 #include <wagtailrack/version/Pool.h>
 
 #include <compare>
@@ -79,6 +80,7 @@
     double failureRate = 0;
     // Ratio of actual to expected response time, averaged; 1 for a server as fast as expected.
     double latencyRatio = 1;
+    ServerCapacityEstimate capacity;
     // Moving average of the expected processing time of the requests sent to this server.
     double averageProcessingMs = 0;
     int consecutiveUnreachable = 0;
@@ -93,6 +95,11 @@
     SteadyTime coldTokensRefilledAt;
 };
 
+// Number of requests that the server processes at the same time without getting slower; at least 1.
+double usableSlots(const BackendServer& server) noexcept;
+// Processing time on the server with this number of requests, relative to a server of usual speed.
+double processingFactor(const BackendServer& server, double load) noexcept;
+
 using BackendServerPointer = std::shared_ptr<BackendServer>;
 
 // All backend servers of the registry, by service, with the state that this instance derives from their responses and
@@ -133,8 +140,7 @@
     // Must be called in pairs around each attempt; `processingMs` is the expected processing time.
     void beginAttempt(BackendServer& server, double processingMs);
     void endAttempt(BackendServer& server, AttemptOutcome outcome);
-    // Records that an attempt took `durationMs` instead of the expected `expectedMs`.
-    void recordDuration(BackendServer& server, double durationMs, double expectedMs);
+    void recordDuration(BackendServer& server, const DurationSample& sample);
     // Records the server's own report: its running and waiting requests, including those of this instance.
     void recordLoadReport(BackendServer& server, int64_t running, int64_t waiting, int64_t slots);
     void recordCachedObject(BackendServer& server, ObjectKey object);
--- a/src/edge/include/wagtailrack/edge/Placement.h
+++ b/src/edge/include/wagtailrack/edge/Placement.h
@@ -81,6 +81,8 @@
     double score = 0;
     double expectedProcessingMs = 0;
     double expectedWaitMs = 0;
+    // Estimated number of requests on the server, without this one.
+    double load = 0;
     // Requests per slot on the candidate servers of the server's region, including waiting requests.
     double utilisation = 0;
     uint64_t objectHash = 0;
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -162,15 +162,17 @@
     bool resolveWorkspace(ForwardingState& state);
     static ConnectionUse connectionUseOf(const ForwardingState& state);
     std::shared_ptr<Call> makeCall(const ForwardingState& state, const BackendServer& server) const;
-    // `durationMs` is the duration of the attempt without the time to connect and the network round trip.
-    void recordProcessingTime(
-        const ForwardingState& state, BackendServer& server, const PlacementChoice& choice, double durationMs);
+    // `durationMs` is the duration of the attempt without the time to connect and the network round trip;
+    // `machineFactor` as in DurationSample.
+    void recordProcessingTime(const ForwardingState& state, BackendServer& server, const PlacementChoice& choice,
+        double durationMs, double machineFactor);
     // Finds out whether the server of an attempt that ended without a response has ended.
     void investigateBrokenAttempt(
         const ForwardingState& state, const BackendServerPointer& server, const Call& call, SteadyTime sentAt);
     asio::awaitable<void> probeServer(BackendServerPointer server);
     void recordRoundTrip(const BackendServer& server, const Call& call);
-    void recordServerLoad(BackendServer& server, const HttpResponse& response);
+    // Records the load that the server tells in its response. Returns the machine factor, 1 if the response has none.
+    double recordServerLoad(BackendServer& server, const HttpResponse& response);
     // Rejects the request as not executed, with a Retry-After of at most a third of the time that its caller has left.
     void reject(ForwardingState& state, const char* reason, double retryAfterSeconds);
     // As reject(), with a Retry-After that may be longer than the caller waits.
--- a/src/edge/src/BackendFleet.cpp
+++ b/src/edge/src/BackendFleet.cpp
@@ -29,6 +29,22 @@
 
 double updatedAverage(double average, double sample, double weight) { return average + weight * (sample - average); }
 
+double slotsOf(const BackendServer& server) noexcept
+{
+    return static_cast<double>(std::max<int64_t>(server.record.slots, 1));
+}
+
+}
+
+double usableSlots(const BackendServer& server) noexcept
+{
+    return std::max(1.0, std::floor(slotsOf(server) * server.capacity.knee));
+}
+
+double processingFactor(const BackendServer& server, double load) noexcept
+{
+    const double slowdown = load > usableSlots(server) ? server.capacity.slowdown : 1;
+    return slowdown / server.capacity.speed;
 }
 
 BackendFleet::BackendFleet(const Clock& clock, std::map<std::string, std::string> regionOfDomain)
@@ -244,12 +260,13 @@
     server.avoidUntil = now + initialAvoidance * (1 << doublings);
 }
 
-void BackendFleet::recordDuration(BackendServer& server, double durationMs, double expectedMs)
+void BackendFleet::recordDuration(BackendServer& server, const DurationSample& sample)
 {
-    const double sample = std::clamp(durationMs / std::max(expectedMs, 1.0), 0.2, maximumLatencyRatio);
-    server.latencyRatio = updatedAverage(server.latencyRatio, sample, attemptSampleWeight);
+    const double expectedMs = std::max(sample.expectedMs * sample.machineFactor, 1.0);
+    const double ratio = std::clamp(sample.durationMs / expectedMs, 0.2, maximumLatencyRatio);
+    server.latencyRatio = updatedAverage(server.latencyRatio, ratio, attemptSampleWeight);
     ++server.unreportedActivity.answeredAttempts;
-    server.unreportedActivity.latencyRatioSumPercent += static_cast<uint32_t>(std::lround(100 * sample));
+    server.unreportedActivity.latencyRatioSumPercent += static_cast<uint32_t>(std::lround(100 * ratio));
 }
 
 void BackendFleet::recordLoadReport(BackendServer& server, int64_t running, int64_t waiting, int64_t slots)
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -111,8 +111,6 @@
         || std::find(rule.homeRegions.begin(), rule.homeRegions.end(), region) != rule.homeRegions.end();
 }
 
-double slotsOf(const BackendServer& server) { return static_cast<double>(std::max<int64_t>(server.record.slots, 1)); }
-
 double millisecondsBetween(SteadyTime from, SteadyTime to)
 {
     return std::chrono::duration<double, std::milli>(to - from).count();
@@ -126,11 +124,11 @@
 
 double queueWaitMs(double load, const BackendServer& server, const ProcessingTimeEstimate& processingTime)
 {
-    const double requestsBeyondSlots = load + 1 - slotsOf(server);
+    const double requestsBeyondSlots = load + 1 - usableSlots(server);
     if (requestsBeyondSlots <= 0)
         return 0;
     const double processingMs = server.averageProcessingMs > 0 ? server.averageProcessingMs : processingTime.cachedMs;
-    return requestsBeyondSlots / slotsOf(server) * processingMs;
+    return requestsBeyondSlots / usableSlots(server) * processingMs;
 }
 
 // Returns the region that the object belongs to, among the regions of the servers that may execute the request: the own
@@ -184,7 +182,7 @@
         if (candidate.server->region != request.ownRegion)
             continue;
         hasOwnRegionCandidate = true;
-        slots += candidate.server->failureRate < failingServerRate ? slotsOf(*candidate.server) : 0;
+        slots += candidate.server->failureRate < failingServerRate ? usableSlots(*candidate.server) : 0;
     }
     request.shiftLimiter.recordOwnRegionSlots(request.service.name, slots);
     if (hasOwnRegionCandidate && !request.shiftLimiter.canSendCrossRegion(request.service.name))
@@ -213,7 +211,7 @@
         statistics.lowestFailureRate = std::min(statistics.lowestFailureRate, candidate.server->failureRate);
         auto& [load, slots] = loadAndSlots[candidate.server->region];
         load += candidate.load;
-        slots += slotsOf(*candidate.server);
+        slots += usableSlots(*candidate.server);
     }
     const auto median = latencyRatios.begin() + static_cast<std::ptrdiff_t>(latencyRatios.size() / 2);
     std::nth_element(latencyRatios.begin(), median, latencyRatios.end());
@@ -258,6 +256,8 @@
     if (now < server.coldUntil)
         choice.expectedProcessingMs *= coldServerProcessingFactor;
     choice.expectedProcessingMs *= std::max(server.latencyRatio / statistics.medianLatencyRatio, 1.0);
+    choice.load = candidate.load;
+    choice.expectedProcessingMs *= processingFactor(server, candidate.load + 1);
     choice.expectedWaitMs = queueWaitMs(candidate.load, server, processingTime);
 
     const double delayMs = networkDelayMs(request, server);
--- a/src/edge/src/RegionShares.cpp
+++ b/src/edge/src/RegionShares.cpp
@@ -186,7 +186,7 @@
             continue;
         Sums& region = sums[server->region];
         if (server->failureRate < failingServerRate)
-            region.slots += static_cast<double>(std::max<int64_t>(server->record.slots, 1));
+            region.slots += usableSlots(*server) * server->capacity.speed;
         region.load += estimateLoad(*server, now);
         region.processingMs += server->averageProcessingMs;
         region.measuredServers += server->averageProcessingMs > 0 ? 1 : 0;
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <vector>
@@ -107,6 +108,12 @@
     return std::to_string(status);
 }
 
+// Requests per slot on the chosen server, including the one that it is chosen for.
+double loadRatioOf(const PlacementChoice& choice)
+{
+    return (choice.load + 1) / static_cast<double>(std::max<int64_t>(choice.server->record.slots, 1));
+}
+
 // Returns a negative number if the text is not a non-negative integer.
 int64_t parseNumber(std::string_view text)
 {
@@ -669,7 +676,7 @@
                 *server, state.fingerprint, sentAt, call->connectDurationMs > 0);
         this->dependencies.fleet.endAttempt(*server, AttemptOutcome::BrokenResponse);
         this->dependencies.fleet.recordDuration(
-            *server, durationMs, choice.expectedWaitMs + choice.expectedProcessingMs);
+            *server, { durationMs, choice.expectedWaitMs + choice.expectedProcessingMs, loadRatioOf(choice) });
         this->respondWithError(state, http::status::gateway_timeout, "deadline-passed");
         co_return NextStep::Finish;
     case CallOutcome::Broken:
@@ -799,28 +806,31 @@
         found->second += roundTripSampleWeight * (sample - found->second);
 }
 
-void RequestForwarder::recordServerLoad(BackendServer& server, const HttpResponse& response)
+double RequestForwarder::recordServerLoad(BackendServer& server, const HttpResponse& response)
 {
+    constexpr double usualMachinePercent = 100;
     const std::string text = headerValue(response.base(), this->dependencies.headers.serverLoad);
-    const size_t first = text.find(',');
-    const size_t second = first == std::string::npos ? first : text.find(',', first + 1);
-    if (second == std::string::npos)
-        return;
-    const std::string_view view = text;
-    const int64_t executing = parseNumber(view.substr(0, first));
-    const int64_t waiting = parseNumber(view.substr(first + 1, second - first - 1));
-    const int64_t slots = parseNumber(view.substr(second + 1, view.find(',', second + 1) - second - 1));
-    if (executing >= 0 && waiting >= 0)
+    // Running, waiting, slots and percent of the usual processing time; later servers may send more figures.
+    std::array<int64_t, 4> figures { -1, -1, -1, -1 };
+    std::string_view rest = text;
+    for (int64_t& figure : figures) {
+        const size_t comma = std::min(rest.find(','), rest.size());
+        figure = parseNumber(rest.substr(0, comma));
+        rest.remove_prefix(std::min(comma + 1, rest.size()));
+    }
+    const auto [executing, waiting, slots, machinePercent] = figures;
+    if (executing >= 0 && waiting >= 0 && slots >= 0)
         this->dependencies.fleet.recordLoadReport(server, executing, waiting, slots);
+    return machinePercent > 0 ? static_cast<double>(machinePercent) / usualMachinePercent : 1;
 }
 
-void RequestForwarder::recordProcessingTime(
-    const ForwardingState& state, BackendServer& server, const PlacementChoice& choice, double durationMs)
+void RequestForwarder::recordProcessingTime(const ForwardingState& state, BackendServer& server,
+    const PlacementChoice& choice, double durationMs, double machineFactor)
 {
     const double waitMs = choice.expectedWaitMs;
     ProcessingTimeEstimate& processingTime = this->processingTimeOf(state.rule);
     const double base = choice.isObjectCached ? processingTime.cachedMs : processingTime.uncachedMs;
-    this->dependencies.fleet.recordDuration(server, durationMs, waitMs + base);
+    this->dependencies.fleet.recordDuration(server, { durationMs, waitMs + base, loadRatioOf(choice), machineFactor });
     // The processing time is known only for requests that did not wait, on servers that are not cold.
     if (waitMs > 0 || this->dependencies.clock.now() < server.coldUntil)
         return;
@@ -839,7 +849,7 @@
     const unsigned status = response.result_int();
     const EdgeHeaderNames& headers = this->dependencies.headers;
     const bool isIdempotent = state.rule.idempotency == version::Idempotency::Idempotent;
-    this->recordServerLoad(server, response);
+    const double machineFactor = this->recordServerLoad(server, response);
     if (status == 421 || !headerValue(response.base(), headers.notExecuted).empty()) {
         this->dependencies.fleet.endAttempt(server, status == 421 ? AttemptOutcome::Answered : AttemptOutcome::Shed);
         if (status == 421)
@@ -885,7 +895,7 @@
     this->forwardResponse(state, std::move(response), "done");
     const auto roundTrip = this->roundTripsMs.find(server.region);
     const double networkMs = call.connectDurationMs + (roundTrip == this->roundTripsMs.end() ? 0 : roundTrip->second);
-    this->recordProcessingTime(state, server, choice, std::max(1.0, durationMs - networkMs));
+    this->recordProcessingTime(state, server, choice, std::max(1.0, durationMs - networkMs), machineFactor);
     return NextStep::Finish;
 }
 
