ServerNotices: servers that say they leave, and servers that ask for a pause

A server that leaves says so in all its responses (Server-Leaving: 1), and one that turns a request away with 503 may ask for a pause (Retry-After); both were ignored, so that requests went on until the store's record changed, and during the pause. Change: ServerNotices reads both fields of every response that is read to its end, and of streamed ones. A leaving lifetime stays out of use whatever its record says, also after the record was missing. A pause is a deadline; after it, each answered request allows one more at a time. Requests that find only pausing servers are refused at once with the earliest end. Ruled out: removing leaving servers through markLeaving() alone, since a record that was missing and returns makes a new entry; a cap below 24 h on pauses, since the rule has none. Not built: requests that wait for the end of a pause.

--- a/src/edge/include/wagtailrack/edge/BackendFleet.h
+++ b/src/edge/include/wagtailrack/edge/BackendFleet.h
@@ -85,6 +85,11 @@
     double averageProcessingMs = 0;
     int consecutiveUnreachable = 0;
     SteadyTime avoidUntil;
+    // The server asked this instance to send it no requests before this time.
+    SteadyTime pausedUntil;
+    // Requests that this instance may have in flight on the server after a pause; grows with each answered request. 0:
+    // not limited.
+    int64_t resumeWindow = 0;
     // Objects that the server has handled and so probably has in its cache, with the time of the latest such
     // information.
     std::unordered_map<ObjectKey, SteadyTime> cachedObjects;
@@ -95,6 +100,8 @@
     SteadyTime coldTokensRefilledAt;
 };
 
+// Returns whether the server's own wish to get no requests, or only few after a pause, allows one more request.
+bool isAcceptingRequests(const BackendServer& server, SteadyTime now) noexcept;
 // Number of requests that the server processes at the same time without getting slower; at least 1.
 double usableSlots(const BackendServer& server) noexcept;
 // Processing time on the server with this number of requests, relative to a server of usual speed.
@@ -145,6 +152,11 @@
     void recordLoadReport(BackendServer& server, int64_t running, int64_t waiting, int64_t slots);
     void recordCachedObject(BackendServer& server, ObjectKey object);
     void markLeaving(BackendServer& server, const char* reason);
+    // Records that the server said it is leaving. Unlike markLeaving(), this holds for the rest of the server's
+    // lifetime, whatever records appear, disappear or reappear. Returns false if it was recorded before.
+    bool recordLeavingNotice(BackendServer& server);
+    // Keeps the server out of use until `until`; of several pauses, the one that ends last applies.
+    void pause(BackendServer& server, SteadyTime until);
 
     // Builds the next report to the hub: the requests in flight on each server, and the results of attempts and the
     // objects handled since the previous report, whose counters are reset.
@@ -181,6 +193,8 @@
     // Objects that servers handled for this instance since the last report to the hub.
     std::set<CachedObject> unreportedCachedObjects;
     std::set<std::string> evacuatedDomains;
+    // Server lifetimes that said they are leaving, and when; the oldest are forgotten beyond a fixed number.
+    std::map<DepartedServers::Lifetime, SteadyTime> leavingNotices;
 };
 
 }
--- a/src/edge/include/wagtailrack/edge/Http.h
+++ b/src/edge/include/wagtailrack/edge/Http.h
@@ -43,6 +43,8 @@
     std::string notExecuted;
     // Name of the workspace for which a request is executed. Set by the instance; the value of a caller is dropped.
     std::string workspace;
+    // "1" in the responses of a server that is leaving.
+    std::string serverLeaving;
 };
 
 Tcp::endpoint toTcpEndpoint(const Endpoint& endpoint);
--- a/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
+++ b/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
@@ -156,6 +156,8 @@
     bool hasIdleConnection(const Endpoint& server) const;
     // Makes maintain() keep an idle connection to `server` open until `until`, or until an attempt to connect fails.
     void keepPreconnected(const Endpoint& server, SteadyTime until);
+    // Ends keepPreconnected() for `server`; its idle connections stay open.
+    void stopPreconnecting(const Endpoint& server);
     // Closes expired and stale idle connections, and opens those requested by keepPreconnected().
     void maintain(SteadyTime now);
     TransferBudget& transferBudget() const noexcept { return this->budget; }
--- a/src/edge/include/wagtailrack/edge/Placement.h
+++ b/src/edge/include/wagtailrack/edge/Placement.h
@@ -96,6 +96,11 @@
 // hub or to the server's own load reports.
 double estimateLoad(const BackendServer& server, SteadyTime now);
 
+// Returns the time at which the first of the servers that could be chosen ends the pause that it asked for; nothing if
+// none pauses.
+std::optional<SteadyTime> earliestPauseEnd(
+    const BackendFleet& fleet, const std::string& service, const RouteRule& rule, SteadyTime now);
+
 // Returns whether the request should be sent rather than rejected. A request that finds a free slot is always sent: the
 // processing-time estimate may be wrong, and it would never be corrected if all requests of the route were rejected.
 bool shouldSend(const PlacementChoice& choice, bool isReturning = false);
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -13,6 +13,7 @@
 #include <wagtailrack/edge/OverloadAdmission.h>
 #include <wagtailrack/edge/Placement.h>
 #include <wagtailrack/edge/RetryTokenBucket.h>
+#include <wagtailrack/edge/ServerNotices.h>
 #include <wagtailrack/edge/UsageLimiter.h>
 
 #include <wagtailrack/process/Metrics.h>
@@ -171,6 +172,10 @@
         const ForwardingState& state, const BackendServerPointer& server, const Call& call, SteadyTime sentAt);
     asio::awaitable<void> probeServer(BackendServerPointer server);
     void recordRoundTrip(const BackendServer& server, const Call& call);
+    // Applies what the server tells about itself in the head of a response.
+    void applyServerNotices(BackendServer& server, const http::response_header<>& head);
+    // Rejects a request for which no server may be used, as not executed.
+    void rejectWithoutServer(ForwardingState& state);
     // Records the load that the server tells in its response. Returns the machine factor, 1 if the response has none.
     double recordServerLoad(BackendServer& server, const HttpResponse& response);
     // Rejects the request as not executed, with a Retry-After of at most a third of the time that its caller has left.
--- a/src/edge/src/BackendFleet.cpp
+++ b/src/edge/src/BackendFleet.cpp
@@ -26,6 +26,8 @@
 constexpr size_t maximumReportedObjects = 60;
 // How long a server is avoided after the hub reported that other instances cannot reach it.
 constexpr Milliseconds hubReportedAvoidance(1000);
+// Server lifetimes that are remembered as leaving; several times the servers of the largest planned deployment.
+constexpr size_t maximumLeavingNotices = 8192;
 
 double updatedAverage(double average, double sample, double weight) { return average + weight * (sample - average); }
 
@@ -36,6 +38,11 @@
 
 }
 
+bool isAcceptingRequests(const BackendServer& server, SteadyTime now) noexcept
+{
+    return server.pausedUntil <= now && (server.resumeWindow == 0 || server.inFlight < server.resumeWindow);
+}
+
 double usableSlots(const BackendServer& server) noexcept
 {
     return std::max(1.0, std::floor(slotsOf(server) * server.capacity.knee));
@@ -88,6 +95,8 @@
     const auto region = this->regionOfDomain.find(record.failureDomain);
     server->region = region == this->regionOfDomain.end() ? std::string() : region->second;
     this->updateServer(*server, record);
+    if (this->leavingNotices.contains({ record.id, record.startedAtMs }))
+        this->markLeaving(*server, "said-leaving");
 }
 
 void BackendFleet::applyRecords(const std::vector<ServerRecord>& records, SteadyTime missingGraceUntil)
@@ -249,6 +258,9 @@
     else if (isFailure)
         ++server.unreportedActivity.failedAttempts;
     server.failureRate = updatedAverage(server.failureRate, isFailure ? 1 : 0, attemptSampleWeight);
+    // After a pause, each answered request allows one more at a time, until the server takes as many as usual.
+    if (outcome == AttemptOutcome::Answered && server.resumeWindow > 0 && server.pausedUntil <= now)
+        server.resumeWindow = server.resumeWindow < server.record.slots ? server.resumeWindow + 1 : 0;
     if (outcome != AttemptOutcome::Unreachable) {
         server.consecutiveUnreachable = 0;
         return;
@@ -353,6 +365,24 @@
         this->leavingHook(server, reason);
 }
 
+bool BackendFleet::recordLeavingNotice(BackendServer& server)
+{
+    const DepartedServers::Lifetime lifetime { server.record.id, server.record.startedAtMs };
+    if (!this->leavingNotices.try_emplace(lifetime, this->clock.now()).second)
+        return false;
+    if (this->leavingNotices.size() > maximumLeavingNotices)
+        this->leavingNotices.erase(std::min_element(this->leavingNotices.begin(), this->leavingNotices.end(),
+            [](const auto& left, const auto& right) { return left.second < right.second; }));
+    this->markLeaving(server, "said-leaving");
+    return true;
+}
+
+void BackendFleet::pause(BackendServer& server, SteadyTime until)
+{
+    server.pausedUntil = std::max(server.pausedUntil, until);
+    server.resumeWindow = 1;
+}
+
 bool BackendFleet::tryTakeColdToken(BackendServer& server, double requestsPerSecond, int senderCount)
 {
     const SteadyTime now = this->clock.now();
--- a/src/edge/src/HttpConnectionPool.cpp
+++ b/src/edge/src/HttpConnectionPool.cpp
@@ -313,6 +313,8 @@
     return this->idleConnections.contains(server);
 }
 
+void HttpConnectionPool::stopPreconnecting(const Endpoint& server) { this->preconnectedUntil.erase(server); }
+
 void HttpConnectionPool::keepPreconnected(const Endpoint& server, SteadyTime until)
 {
     SteadyTime& keptUntil = this->preconnectedUntil[server];
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -152,7 +152,7 @@
     std::vector<Candidate> candidates;
     for (const BackendServerPointer& server : fleet.servers(request.service.name)) {
         if (!fleet.isUsable(*server) || request.excludedServers.contains(server.get())
-            || !isHomeRegion(request.rule, server->region))
+            || !isHomeRegion(request.rule, server->region) || !isAcceptingRequests(*server, now))
             continue;
         candidates.push_back(
             { server, combineHashes(objectHash, server->placementHash), estimateLoad(*server, now), false, {} });
@@ -372,6 +372,18 @@
         std::min(targetMs * initialCachedTargetRatio, maximumMs) };
 }
 
+std::optional<SteadyTime> earliestPauseEnd(
+    const BackendFleet& fleet, const std::string& service, const RouteRule& rule, SteadyTime now)
+{
+    std::optional<SteadyTime> earliest;
+    for (const BackendServerPointer& server : fleet.servers(service)) {
+        if (!fleet.isUsable(*server) || !isHomeRegion(rule, server->region) || server->pausedUntil <= now)
+            continue;
+        earliest = std::min(earliest.value_or(server->pausedUntil), server->pausedUntil);
+    }
+    return earliest;
+}
+
 bool shouldSend(const PlacementChoice& choice, bool isReturning)
 {
     return choice.expectedWaitMs <= 0 || choice.score > (isReturning ? returningScoreThreshold : 0);
--- a/src/edge/src/RegionShares.cpp
+++ b/src/edge/src/RegionShares.cpp
@@ -182,7 +182,7 @@
     // The own region comes first.
     std::map<std::string_view, Sums> sums;
     for (const BackendServerPointer& server : fleet.servers(service)) {
-        if (!fleet.isUsable(*server) || server->avoidUntil > now)
+        if (!fleet.isUsable(*server) || server->avoidUntil > now || server->pausedUntil > now)
             continue;
         Sums& region = sums[server->region];
         if (server->failureRate < failingServerRate)
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -551,7 +551,7 @@
         if (!choice) {
             if (state.sendCount == 0)
                 this->dependencies.shiftLimiter.recordRefusal();
-            this->finishAfterFailure(state, "no-server");
+            this->rejectWithoutServer(state);
             co_return;
         }
         if (!this->admit(state, *choice)) {
@@ -633,6 +633,10 @@
         = millisecondsSince(sentAt, isRelayed ? call->relay->begunAt() : this->dependencies.clock.now());
     state.lastAttemptDurationMs = durationMs;
     this->recordRoundTrip(*server, *call);
+    if (isRelayed)
+        this->applyServerNotices(*server, state.exchange->response.base());
+    else if (outcome == CallOutcome::Answered)
+        this->applyServerNotices(*server, call->response.base());
     if (isRelayed && outcome != CallOutcome::Answered) {
         if (outcome != CallOutcome::Cancelled && (call->relay->hasStarted() || outcome == CallOutcome::TooLarge)) {
             this->endBrokenRelay(state, *server, outcome);
@@ -806,6 +810,44 @@
         found->second += roundTripSampleWeight * (sample - found->second);
 }
 
+void RequestForwarder::applyServerNotices(BackendServer& server, const http::response_header<>& head)
+{
+    const SteadyTime now = this->dependencies.clock.now();
+    const ServerNotices notices = readServerNotices(head, this->dependencies.headers, now);
+    if (notices.invalidFields > 0)
+        this->dependencies.metrics.count(
+            "wagtailrack_server_notices_ignored_total", "", static_cast<double>(notices.invalidFields));
+    if (notices.isLeaving && this->dependencies.fleet.recordLeavingNotice(server)) {
+        this->dependencies.metrics.count("wagtailrack_server_leaving_notices_total", "");
+        this->dependencies.serverConnections.closeIdleConnections(server.record.address);
+    }
+    if (!notices.pausesUntil || *notices.pausesUntil <= now)
+        return;
+    const bool isFirst = server.pausedUntil <= now;
+    this->dependencies.fleet.pause(server, *notices.pausesUntil);
+    this->dependencies.serverConnections.stopPreconnecting(server.record.address);
+    this->dependencies.metrics.count("wagtailrack_server_pauses_total", "");
+    if (isFirst)
+        this->dependencies.log.write(LogCategory::ProcessState, "server-pauses",
+            { { "server", server.record.id }, { "service", server.record.service },
+                { "for_ms", static_cast<int64_t>(millisecondsSince(now, server.pausedUntil)) } });
+}
+
+void RequestForwarder::rejectWithoutServer(ForwardingState& state)
+{
+    const SteadyTime now = this->dependencies.clock.now();
+    const std::optional<SteadyTime> pauseEnd
+        = earliestPauseEnd(this->dependencies.fleet, state.serviceName, state.rule, now);
+    if (!pauseEnd || state.fallbackResponse || state.isPossiblyExecuted) {
+        this->finishAfterFailure(state, "no-server");
+        return;
+    }
+    // Not shortened to a third of the caller's time as other refusals: a caller that returns before the pause ends is
+    // refused again.
+    const double leftSeconds = std::max(0.0, this->remainingMs(state)) / 1000;
+    this->rejectFor(state, "servers-pause", std::min(millisecondsSince(now, *pauseEnd) / 1000, leftSeconds));
+}
+
 double RequestForwarder::recordServerLoad(BackendServer& server, const HttpResponse& response)
 {
     constexpr double usualMachinePercent = 100;
