--- a/src/edge/include/wagtailrack/edge/BackendFleet.h
+++ b/src/edge/include/wagtailrack/edge/BackendFleet.h
@@ -78,9 +78,9 @@
     ServerActivity unreportedActivity;
     // Ratio of recent attempts that failed, 0 to 1.
     double failureRate = 0;
-    // Ratio of actual to expected response time, averaged; 1 for a server as fast as expected.
-    double latencyRatio = 1;
     ServerCapacityEstimate capacity;
+    // Logarithm of actual to expected duration, including what the servers of the service have in common.
+    double durationLogRatio = 0;
     // Moving average of the expected processing time of the requests sent to this server.
     double averageProcessingMs = 0;
     int consecutiveUnreachable = 0;
@@ -172,6 +172,11 @@
 private:
     void applyRecord(const ServerRecord& record);
     void updateServer(BackendServer& server, const ServerRecord& record);
+    // Takes the estimates of servers without a hub's table from this instance's own samples.
+    void applyOwnCapacities();
+    void setCapacity(BackendServer& server, const ServerCapacityTracker::RelativeCapacity& capacity);
+    // Derives the speeds of all servers from their duration ratios and the medians of their services.
+    void updateSpeeds();
     void recordDeparture(const BackendServer& server, bool isFinal);
     void addDeparture(const DepartedServers::Departure& departure);
     // Returns whether any server was added.
@@ -193,6 +198,7 @@
     // Objects that servers handled for this instance since the last report to the hub.
     std::set<CachedObject> unreportedCachedObjects;
     std::set<std::string> evacuatedDomains;
+    ServerCapacityTracker ownCapacities;
     // Server lifetimes that said they are leaving, and when; the oldest are forgotten beyond a fixed number.
     std::map<DepartedServers::Lifetime, SteadyTime> leavingNotices;
 };
--- a/src/edge/include/wagtailrack/edge/LoadExchange.h
+++ b/src/edge/include/wagtailrack/edge/LoadExchange.h
@@ -36,6 +36,8 @@
     LoadExchange(const Clock& clock, const EdgeSettings& settings, BackendFleet& fleet, ShiftLimiter& shiftLimiter,
         const InstanceMembership& membership, RegionShares* regionShares = nullptr);
 
+    void setKneeHook(ServerCapacityTracker::KneeHook hook) { this->hub.capacities().setKneeHook(std::move(hook)); }
+
     // Returns the datagrams that are due. Must be called often; most calls return none.
     std::vector<Datagram> collectDueDatagrams();
     // Processes a datagram; returns false if it is malformed.
--- a/src/edge/include/wagtailrack/edge/LoadHub.h
+++ b/src/edge/include/wagtailrack/edge/LoadHub.h
@@ -2,6 +2,7 @@
 
 #include <wagtailrack/base/Clock.h>
 #include <wagtailrack/edge/LoadMessages.h>
+#include <wagtailrack/edge/ServerCapacity.h>
 #include <wagtailrack/edge/ShiftLimiter.h>
 
 #include <cstdint>
@@ -29,6 +30,9 @@
     // Requests that the instances of this region have in flight, by server.
     std::map<ServerKey, uint32_t> ownRegionInFlight() const;
 
+    // Estimates of how much each server handles well, from the samples of all failure domains.
+    ServerCapacityTracker& capacities() noexcept { return this->serverCapacities; }
+
     // Removes senders that stopped sending, cached objects that were not used and server health without new attempts.
     void removeExpired();
 
@@ -44,7 +48,6 @@
     // Health of a server, derived from the attempts of this domain's instances.
     struct ServerHealth {
         double failureRate = 0;
-        double latencyRatio = 0;
         int consecutiveUnreachableAttempts = 0;
         SteadyTime sampledAt;
     };
@@ -75,6 +78,8 @@
     std::map<uint32_t, SenderState> receivedReports;
     std::map<uint32_t, SenderState> receivedSummaries;
     std::map<ServerKey, ServerHealth> serverHealth;
+    ServerCapacityTracker serverCapacities;
+    std::vector<ServerCapacitySummary> capacitiesOfRound;
     std::map<CachedObject, CachedObjectState> cachedObjects;
     // Requests sent by all instances of the region, and those sent by this domain since the last summaries for hubs of
     // the region.
--- a/src/edge/include/wagtailrack/edge/LoadMessages.h
+++ b/src/edge/include/wagtailrack/edge/LoadMessages.h
@@ -18,6 +18,28 @@
 // Identifies an object of a route: the lower 32 bits of its hash.
 using ObjectKey = uint32_t;
 
+// Durations of requests that found a server in one band of load, relative to the expected ones.
+struct LoadBandSamples {
+    // As loadBandOf() numbers it.
+    uint8_t band = 0;
+    // Number of samples in tenths, because older ones count less.
+    uint32_t weightTenths = 0;
+    // Sum over the samples of the logarithm of actual to expected duration, in percent.
+    int32_t logRatioSumPercent = 0;
+
+    friend bool operator==(const LoadBandSamples&, const LoadBandSamples&) = default;
+    MSGPACK_DEFINE(band, weightTenths, logRatioSumPercent)
+};
+
+// What the instances of one failure domain measured of a server.
+struct ServerCapacitySummary {
+    ServerKey server = 0;
+    std::vector<LoadBandSamples> bands;
+
+    friend bool operator==(const ServerCapacitySummary&, const ServerCapacitySummary&) = default;
+    MSGPACK_DEFINE(server, bands)
+};
+
 // Requests that an instance has in flight on a server, and the outcomes of its attempts there since its last report.
 struct ServerActivity {
     ServerKey server = 0;
@@ -25,11 +47,13 @@
     uint32_t answeredAttempts = 0;
     uint32_t failedAttempts = 0;
     uint32_t unreachableAttempts = 0;
-    // Sum over the answered attempts of the ratio of actual to expected duration, in percent.
-    uint32_t latencyRatioSumPercent = 0;
+    // Position of a value that instances of earlier releases send; always 0.
+    uint32_t unused = 0;
+    // Durations of the answered attempts.
+    std::vector<LoadBandSamples> durations {};
 
     friend bool operator==(const ServerActivity&, const ServerActivity&) = default;
-    MSGPACK_DEFINE(server, inFlight, answeredAttempts, failedAttempts, unreachableAttempts, latencyRatioSumPercent)
+    MSGPACK_DEFINE(server, inFlight, answeredAttempts, failedAttempts, unreachableAttempts, unused, durations)
 };
 
 // A server that has handled an object and therefore answers requests for it faster.
@@ -81,10 +105,12 @@
     uint32_t crossRegionRequests = 0;
     // As in InstanceLoadReport.
     uint32_t refusedRequests = 0;
+    // Of a bounded number of servers in each round.
+    std::vector<ServerCapacitySummary> capacities {};
 
     friend bool operator==(const DomainLoadSummary&, const DomainLoadSummary&) = default;
-    MSGPACK_DEFINE(
-        firstServer, lastServer, servers, cachedObjects, inRegionRequests, crossRegionRequests, refusedRequests)
+    MSGPACK_DEFINE(firstServer, lastServer, servers, cachedObjects, inRegionRequests, crossRegionRequests,
+        refusedRequests, capacities)
 };
 
 // Load and health of a server, as aggregated by a hub.
@@ -94,12 +120,17 @@
     uint32_t totalInFlight = 0;
     // Percentage of the recent attempts by instances of the failure domain that failed.
     uint32_t failureRatePercent = 0;
-    // Ratio of actual to expected duration in percent: 100 for a normal server, 0 if nothing was measured.
-    uint32_t latencyRatioPercent = 0;
+    // Ratio of actual to expected duration in percent, below the knee: 0 if nothing was measured.
+    uint32_t durationRatioPercent = 0;
     bool isUnreachable = false;
+    // As in ServerCapacityTracker::RelativeCapacity, in percent. Missing in the tables of older versions.
+    uint32_t kneePercent = 100;
+    uint32_t slowdownPercent = 100;
+    uint32_t confidencePercent = 0;
 
     friend bool operator==(const ServerStatus&, const ServerStatus&) = default;
-    MSGPACK_DEFINE(server, totalInFlight, failureRatePercent, latencyRatioPercent, isUnreachable)
+    MSGPACK_DEFINE(server, totalInFlight, failureRatePercent, durationRatioPercent, isUnreachable, kneePercent,
+        slowdownPercent, confidencePercent)
 };
 
 // Requests that all instances of a region have in flight on the servers of one service in one region.
--- a/src/edge/src/BackendFleet.cpp
+++ b/src/edge/src/BackendFleet.cpp
@@ -20,8 +20,14 @@
 constexpr int maximumAvoidanceDoublings = 2;
 // Objects recorded for each server; limits the memory use of an instance.
 constexpr size_t maximumCachedObjects = 256;
-// Upper limit of a single latency ratio sample, so that one very slow response does not dominate the average.
-constexpr double maximumLatencyRatio = 20;
+// A server's estimate comes from a status table until the table is this old; hubs send tables far more often.
+constexpr Milliseconds statusTableValidity(1000);
+// Deviations from the median within this (in logarithms, about 28%) count as chance: busy neighbours on the machines
+// and objects that were evicted from caches make the means of healthy servers differ.
+constexpr double insignificantDeviation = 0.25;
+// Bounds of the speed relative to the median.
+constexpr double minimumSpeed = 0.05;
+constexpr double maximumSpeed = 3;
 // Maximum number of objects in one report to the hub. Objects beyond it are not reported until they are used again.
 constexpr size_t maximumReportedObjects = 60;
 // How long a server is avoided after the hub reported that other instances cannot reach it.
@@ -57,6 +63,7 @@
 BackendFleet::BackendFleet(const Clock& clock, std::map<std::string, std::string> regionOfDomain)
     : clock(clock)
     , regionOfDomain(std::move(regionOfDomain))
+    , ownCapacities(clock)
 {
 }
 
@@ -274,11 +281,61 @@
 
 void BackendFleet::recordDuration(BackendServer& server, const DurationSample& sample)
 {
-    const double expectedMs = std::max(sample.expectedMs * sample.machineFactor, 1.0);
-    const double ratio = std::clamp(sample.durationMs / expectedMs, 0.2, maximumLatencyRatio);
-    server.latencyRatio = updatedAverage(server.latencyRatio, ratio, attemptSampleWeight);
     ++server.unreportedActivity.answeredAttempts;
-    server.unreportedActivity.latencyRatioSumPercent += static_cast<uint32_t>(std::lround(100 * ratio));
+    const LoadBandSamples added = loadBandSamplesOf(sample);
+    if (added.band >= loadBandCount)
+        return;
+    this->ownCapacities.add(server.key, { added });
+    std::vector<LoadBandSamples>& unreported = server.unreportedActivity.durations;
+    const auto sameBand = std::find_if(unreported.begin(), unreported.end(),
+        [&added](const LoadBandSamples& samples) { return samples.band == added.band; });
+    if (sameBand == unreported.end()) {
+        unreported.push_back(added);
+        return;
+    }
+    sameBand->weightTenths += added.weightTenths;
+    sameBand->logRatioSumPercent += added.logRatioSumPercent;
+}
+
+void BackendFleet::setCapacity(BackendServer& server, const ServerCapacityTracker::RelativeCapacity& capacity)
+{
+    server.durationLogRatio = capacity.logRatio;
+    server.capacity.knee = capacity.knee;
+    server.capacity.slowdown = capacity.slowdown;
+    server.capacity.confidence = capacity.confidence;
+    server.capacity.sampledAt = this->clock.now();
+}
+
+void BackendFleet::applyOwnCapacities()
+{
+    const SteadyTime now = this->clock.now();
+    bool hasChanged = false;
+    for (const auto& [key, server] : this->byKey) {
+        if (now - server->totalLoadAt < statusTableValidity)
+            continue;
+        this->setCapacity(*server, this->ownCapacities.estimate(key));
+        hasChanged = true;
+    }
+    this->ownCapacities.removeExpired();
+    if (hasChanged)
+        this->updateSpeeds();
+}
+
+void BackendFleet::updateSpeeds()
+{
+    for (const auto& [service, members] : this->byService) {
+        std::vector<double> logRatios;
+        logRatios.reserve(members.size());
+        for (const BackendServerPointer& server : members)
+            logRatios.push_back(server->durationLogRatio);
+        const double median = medianLogRatio(logRatios);
+        for (const BackendServerPointer& server : members) {
+            const double deviation = median - server->durationLogRatio;
+            server->capacity.speed = std::abs(deviation) < insignificantDeviation
+                ? 1
+                : std::clamp(std::exp(deviation), minimumSpeed, maximumSpeed);
+        }
+    }
 }
 
 void BackendFleet::recordLoadReport(BackendServer& server, int64_t running, int64_t waiting, int64_t slots)
@@ -314,6 +371,7 @@
 
 InstanceLoadReport BackendFleet::collectReport()
 {
+    this->applyOwnCapacities();
     InstanceLoadReport report;
     for (const auto& [key, server] : this->byKey) {
         server->reportedInFlight = server->inFlight;
@@ -336,6 +394,7 @@
          entry != this->byKey.end() && entry->first <= table.lastServer; ++entry) {
         entry->second->totalLoad = 0;
         entry->second->totalLoadAt = now;
+        this->setCapacity(*entry->second, {});
     }
     for (const ServerStatus& status : table.servers) {
         const auto found = this->byKey.find(status.server);
@@ -344,8 +403,10 @@
         BackendServer& server = *found->second;
         server.totalLoad = status.totalInFlight;
         server.failureRate = status.failureRatePercent / 100.0;
-        if (status.latencyRatioPercent > 0)
-            server.latencyRatio = status.latencyRatioPercent / 100.0;
+        if (status.durationRatioPercent > 0)
+            this->setCapacity(server,
+                { std::log(status.durationRatioPercent / 100.0), status.kneePercent / 100.0,
+                    status.slowdownPercent / 100.0, status.confidencePercent / 100.0 });
         if (status.isUnreachable)
             server.avoidUntil = std::max(server.avoidUntil, now + hubReportedAvoidance);
     }
@@ -354,6 +415,7 @@
         if (found != this->byKey.end())
             addCachedObject(*found->second, copy.object, now);
     }
+    this->updateSpeeds();
 }
 
 void BackendFleet::markLeaving(BackendServer& server, const char* reason)
--- a/src/edge/src/LoadHub.cpp
+++ b/src/edge/src/LoadHub.cpp
@@ -18,8 +18,6 @@
 // Consecutive attempts without a connection after which a server counts as unreachable, and for how long it does.
 constexpr int unreachableAttemptsBeforeAvoidance = 2;
 constexpr Milliseconds unreachableValidity(1500);
-// Larger ratios of actual to expected duration count as this one.
-constexpr double maximumLatencyRatio = 20;
 // Objects that were not requested for this long have probably been evicted from the server's cache. Health records
 // without new attempts are kept as long.
 constexpr Milliseconds cachedObjectValidity(20000);
@@ -33,6 +31,8 @@
 // These limits keep a message below the usual packet size.
 constexpr size_t maximumServersPerMessage = 90;
 constexpr size_t maximumObjectsPerMessage = 80;
+// Servers whose capacity is told to the hubs of other domains in one round: about 200 bytes.
+constexpr size_t maximumCapacitiesPerRound = 8;
 // Cached objects sent to a group of receivers at once; more follow in the next round.
 constexpr size_t maximumObjectsPerRound = 320;
 
@@ -78,6 +78,7 @@
 
 LoadHub::LoadHub(const Clock& clock)
     : clock(clock)
+    , serverCapacities(clock)
     , recentSends(CrossRegionRatios::recentDecayTime)
     , baselineSends(CrossRegionRatios::baselineDecayTime)
     , refusals(refusalDecayTime)
@@ -103,14 +104,7 @@
     const double failureRatio = static_cast<double>(activity.failedAttempts + activity.unreachableAttempts) / attempts;
     health.failureRate = decayed(health.failureRate, health.sampledAt, now);
     health.failureRate += weight * (failureRatio - health.failureRate);
-    if (activity.answeredAttempts > 0) {
-        const double ratio
-            = std::min(activity.latencyRatioSumPercent / 100.0 / activity.answeredAttempts, maximumLatencyRatio);
-        const double answeredWeight = 1 - std::pow(1 - attemptSampleWeight, activity.answeredAttempts);
-        const double previous
-            = health.latencyRatio > 0 ? 1 + decayed(health.latencyRatio - 1, health.sampledAt, now) : ratio;
-        health.latencyRatio = previous + answeredWeight * (ratio - previous);
-    }
+    this->serverCapacities.add(activity.server, activity.durations);
     health.sampledAt = now;
     if (activity.answeredAttempts + activity.failedAttempts > 0)
         health.consecutiveUnreachableAttempts = 0;
@@ -155,6 +149,8 @@
         state.inFlight[count.server] = count.inFlight;
     for (const CachedObject& object : summary.cachedObjects)
         this->recordCachedObject(object, false);
+    for (const ServerCapacitySummary& capacity : summary.capacities)
+        this->serverCapacities.applySummary(sender, capacity);
     if (isFromOwnRegion)
         this->recordSends(summary.inRegionRequests, summary.crossRegionRequests, summary.refusedRequests);
 }
@@ -216,7 +212,10 @@
         summaries.back().inRegionRequests = std::exchange(this->unpublishedInRegionRequests, 0);
         summaries.back().crossRegionRequests = std::exchange(this->unpublishedCrossRegionRequests, 0);
         summaries.back().refusedRequests = std::exchange(this->unpublishedRefusedRequests, 0);
+        this->capacitiesOfRound = this->serverCapacities.collectSummaries(maximumCapacitiesPerRound);
     }
+    // The hubs of all regions are told about the same servers in a round.
+    summaries.back().capacities = this->capacitiesOfRound;
     return summaries;
 }
 
@@ -234,14 +233,18 @@
         add(summary.inFlight);
     for (const auto& [server, health] : this->serverHealth) {
         ServerStatus& status = statuses[server];
-        const double latencyRatio
-            = health.latencyRatio > 0 ? 1 + decayed(health.latencyRatio - 1, health.sampledAt, now) : 0;
         status.failureRatePercent
             = static_cast<uint32_t>(std::lround(100 * decayed(health.failureRate, health.sampledAt, now)));
-        status.latencyRatioPercent = static_cast<uint32_t>(std::lround(100 * latencyRatio));
         status.isUnreachable = health.consecutiveUnreachableAttempts >= unreachableAttemptsBeforeAvoidance
             && now - health.sampledAt < unreachableValidity;
     }
+    this->serverCapacities.forEach([&statuses](ServerKey server, const auto& capacity) {
+        ServerStatus& status = statuses[server];
+        status.durationRatioPercent = static_cast<uint32_t>(std::lround(100 * std::exp(capacity.logRatio)));
+        status.kneePercent = static_cast<uint32_t>(std::lround(100 * capacity.knee));
+        status.slowdownPercent = static_cast<uint32_t>(std::lround(100 * capacity.slowdown));
+        status.confidencePercent = static_cast<uint32_t>(std::lround(100 * capacity.confidence));
+    });
     std::vector<ServerStatus> entries;
     for (auto& [server, status] : statuses) {
         status.server = server;
@@ -269,6 +272,7 @@
         this->receivedSummaries, [now](const auto& entry) { return now - entry.second.receivedAt > summaryValidity; });
     std::erase_if(
         this->cachedObjects, [now](const auto& entry) { return now - entry.second.lastUsedAt > cachedObjectValidity; });
+    this->serverCapacities.removeExpired();
     std::erase_if(
         this->serverHealth, [now](const auto& entry) { return now - entry.second.sampledAt > cachedObjectValidity; });
 }
