Placement: ranking of servers without side effects, split from the choice

Cause: wagtailrack explain has to tell where a request would go with the code that decides, but chooseServer() recomputes region shares, records slots and takes cold tokens while it scores.

Change: rankServers() scores the candidates with const objects and can name one reason for each other server of the service; previewChoice() tells what chooseServer() would return without taking a token. chooseServer() updates the shares, ranks, records the slots and takes the token. ShiftLimiter, RegionShares and BackendFleet have const counterparts of what it uses.

Ruled out: a copy of the scoring for explain, which would drift from it.

--- a/src/edge/include/wagtailrack/edge/BackendFleet.h
+++ b/src/edge/include/wagtailrack/edge/BackendFleet.h
@@ -142,6 +142,7 @@
     // Null if there is no server with this key.
     const BackendServer* findByKey(ServerKey key) const;
     bool isUsable(const BackendServer& server) const;
+    bool isEvacuated(const BackendServer& server) const;
     size_t size() const noexcept { return this->byId.size(); }
 
     // Must be called in pairs around each attempt; `processingMs` is the expected processing time.
@@ -168,6 +169,8 @@
     // the rate that the server accepts from all instances together, `senderCount` the number of instances that share
     // this rate.
     bool tryTakeColdToken(BackendServer& server, double requestsPerSecond, int senderCount);
+    // Returns whether tryTakeColdToken() would return true.
+    bool hasColdToken(const BackendServer& server, double requestsPerSecond, int senderCount) const;
 
 private:
     void applyRecord(const ServerRecord& record);
@@ -184,6 +187,8 @@
     // Returns whether any server was removed.
     bool eraseExpiredServers();
     void rebuildIndexes();
+    // Tokens at this moment.
+    double refilledColdTokens(const BackendServer& server, double requestsPerSecond, int senderCount) const;
     static void addCachedObject(BackendServer& server, ObjectKey object, SteadyTime when);
 
     const Clock& clock;
--- a/src/edge/include/wagtailrack/edge/Placement.h
+++ b/src/edge/include/wagtailrack/edge/Placement.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace wagtailrack::edge {
@@ -70,6 +71,26 @@
     RegionShares* regionShares = nullptr;
 };
 
+// Inputs of rankServers(): those of a PlacementRequest, without the objects that a decision changes. The referenced
+// objects must outlive it.
+struct RankingRequest {
+    const RouteRule& rule;
+    const ServiceSettings& service;
+    const std::string& affinityKey;
+    const std::string& ownRegion;
+    const std::string& ownFailureDomain;
+    const std::map<std::string, double>& roundTripsMs;
+    const std::function<bool(const BackendServer&)>& hasConnection;
+    SteadyTime arrivedAt;
+    SteadyTime deadline;
+    const ShiftLimiter& shiftLimiter;
+    const ColdServerSenders& coldServerSenders;
+    const std::set<const BackendServer*>& excludedServers;
+    bool isPreferredServerWarm = false;
+    // Empty: all objects belong to the own region.
+    const std::vector<RegionShare>& regionShares;
+};
+
 // Identifies the object of a request: a hash of the route's name and the affinity key.
 uint64_t objectHashOf(const RouteRule& rule, const std::string& affinityKey);
 inline ObjectKey objectKeyOf(uint64_t objectHash) { return static_cast<ObjectKey>(objectHash); }
@@ -89,6 +110,59 @@
     bool isObjectCached = false;
 };
 
+// Why a server of the service cannot be chosen for a request.
+enum class ServerExclusion {
+    None,
+    // The server leaves or has left.
+    Leaving,
+    // Its failure domain is being evacuated.
+    Evacuated,
+    // The route or the workspace does not allow its region.
+    OtherHomeRegion,
+    // The request was sent there before.
+    AlreadyTried,
+    // The server asked for a pause.
+    Pausing,
+    // After a pause, the server already has the requests that may be in flight on it.
+    Resuming,
+    // It was unreachable a short time ago, and others were not.
+    Avoided,
+    // The shift limiter allows no further requests to other regions now.
+    ShiftLimit,
+    // During a cold start: this instance is not among those that may send to the server, or has no token left.
+    ColdOtherSender,
+    ColdWithoutToken,
+};
+
+const char* toString(ServerExclusion exclusion) noexcept;
+
+// A server that may execute a request, with its score.
+struct PlacementCandidate {
+    BackendServerPointer server;
+    // Position in the object's rendezvous order; the highest is the first.
+    uint64_t rank = 0;
+    double load = 0;
+    bool isTopRanked = false;
+    PlacementChoice choice;
+};
+
+struct ExcludedServer {
+    BackendServerPointer server;
+    ServerExclusion reason = ServerExclusion::None;
+};
+
+// Result of rankServers().
+struct ServerRanking {
+    uint64_t objectHash = 0;
+    std::string objectRegion;
+    // Ordered by score, the best first.
+    std::vector<PlacementCandidate> candidates;
+    // Requests per slot, by region. The keys refer to servers of `candidates`.
+    std::map<std::string_view, double> utilisations;
+    // Usable slots of the candidates of the own region, before the shift limit is applied.
+    double ownRegionSlots = 0;
+};
+
 // Estimated time that a new request waits for a free slot of the server.
 double estimateWaitMs(const BackendServer& server, const ProcessingTimeEstimate& processingTime, SteadyTime now);
 
@@ -105,6 +179,16 @@
 // processing-time estimate may be wrong, and it would never be corrected if all requests of the route were rejected.
 bool shouldSend(const PlacementChoice& choice, bool isReturning = false);
 
+// Scores the servers that may execute the request; changes nothing. `excluded`, if it is not null, gets the other
+// servers of the service, each with one reason.
+ServerRanking rankServers(const BackendFleet& fleet, const RankingRequest& request,
+    const ProcessingTimeEstimate& processingTime, SteadyTime now, std::vector<ExcludedServer>* excluded = nullptr);
+
+// Returns what chooseServer() would return for this ranking, without taking a token. `skipped`, if it is not null, gets
+// the servers with higher scores, which are in their cold start.
+std::optional<PlacementChoice> previewChoice(const BackendFleet& fleet, const RankingRequest& request,
+    const ServerRanking& ranking, SteadyTime now, std::vector<ExcludedServer>* skipped = nullptr);
+
 // Chooses the server with the highest score. Rendezvous hashing gives each object its own order of servers, the same on
 // every instance; the first server of the object's region is its preferred server. That is the own region, unless it
 // has less room than its callers need (RegionShares). Returns nothing when no server may be used or the deadline has
--- a/src/edge/include/wagtailrack/edge/RegionShares.h
+++ b/src/edge/include/wagtailrack/edge/RegionShares.h
@@ -79,6 +79,9 @@
     const std::vector<RegionShare>& sharesOf(const BackendFleet& fleet, const std::string& service,
         const std::map<std::string, double>& roundTripsMs, bool isStarting);
 
+    // Returns the shares as the latest call of sharesOf() left them.
+    const std::vector<RegionShare>& currentShares(const std::string& service) const;
+
     // Returns the index of the object's region in `shares`, among those for which `isCandidate` returns true;
     // shares.size() if there is none.
     template <typename IsCandidate>
--- a/src/edge/include/wagtailrack/edge/ShiftLimiter.h
+++ b/src/edge/include/wagtailrack/edge/ShiftLimiter.h
@@ -61,6 +61,8 @@
 
     // Returns whether a request for the service may be sent to another region now.
     bool canSendCrossRegion(const std::string& service) const;
+    // As above, as if recordOwnRegionSlots() had been called with `ownRegionSlots`.
+    bool canSendCrossRegion(const std::string& service, double ownRegionSlots) const;
     // Returns whether traffic returns to the region too fast, so that requests that other regions can serve should stay
     // there.
     bool isReturningTooFast() const;
@@ -81,8 +83,12 @@
         double peakSlots = 0;
         SteadyTime peakAt;
         double currentSlots = 0;
+
+        void record(double slots, SteadyTime now) noexcept;
+        bool isLost() const noexcept;
     };
 
+    bool hasTokenOrNoLimit() const;
     CrossRegionRatios currentCrossRegionRatios() const;
 
     const Clock& clock;
--- a/src/edge/src/BackendFleet.cpp
+++ b/src/edge/src/BackendFleet.cpp
@@ -244,7 +244,12 @@
 
 bool BackendFleet::isUsable(const BackendServer& server) const
 {
-    return !server.isLeaving && !this->evacuatedDomains.contains(server.record.failureDomain);
+    return !server.isLeaving && !this->isEvacuated(server);
+}
+
+bool BackendFleet::isEvacuated(const BackendServer& server) const
+{
+    return this->evacuatedDomains.contains(server.record.failureDomain);
 }
 
 void BackendFleet::beginAttempt(BackendServer& server, double processingMs)
@@ -445,13 +450,22 @@
     server.resumeWindow = 1;
 }
 
-bool BackendFleet::tryTakeColdToken(BackendServer& server, double requestsPerSecond, int senderCount)
+double BackendFleet::refilledColdTokens(const BackendServer& server, double requestsPerSecond, int senderCount) const
 {
-    const SteadyTime now = this->clock.now();
-    const double elapsed = std::chrono::duration<double>(now - server.coldTokensRefilledAt).count();
+    const double elapsed = std::chrono::duration<double>(this->clock.now() - server.coldTokensRefilledAt).count();
     const double refill = elapsed * requestsPerSecond / std::max(senderCount, 1);
-    server.coldTokens = std::min(1.0, server.coldTokens + refill);
-    server.coldTokensRefilledAt = now;
+    return std::min(1.0, server.coldTokens + refill);
+}
+
+bool BackendFleet::hasColdToken(const BackendServer& server, double requestsPerSecond, int senderCount) const
+{
+    return this->refilledColdTokens(server, requestsPerSecond, senderCount) >= 1;
+}
+
+bool BackendFleet::tryTakeColdToken(BackendServer& server, double requestsPerSecond, int senderCount)
+{
+    server.coldTokens = this->refilledColdTokens(server, requestsPerSecond, senderCount);
+    server.coldTokensRefilledAt = this->clock.now();
     if (server.coldTokens < 1)
         return false;
     server.coldTokens -= 1;
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -74,13 +74,7 @@
 constexpr double initialCachedTargetRatio = 0.36;
 constexpr double maximumInitialTimeoutRatio = 0.5;
 
-struct Candidate {
-    BackendServerPointer server;
-    uint64_t rank = 0;
-    double load = 0;
-    bool isTopRanked = false;
-    PlacementChoice choice;
-};
+using Candidate = PlacementCandidate;
 
 // Statistics over all candidate servers of a service.
 struct ServiceStatistics {
@@ -132,33 +126,64 @@
 
 // Returns the region that the object belongs to, among the regions of the servers that may execute the request: the own
 // region unless it has less room than its callers need.
-std::string regionOfObject(const BackendFleet& fleet, const PlacementRequest& request, uint64_t objectHash)
+std::string regionOfObject(const RankingRequest& request, uint64_t objectHash)
 {
-    if (!request.regionShares || request.affinityKey.empty())
+    const std::vector<RegionShare>& shares = request.regionShares;
+    if (shares.empty() || request.affinityKey.empty())
         return request.ownRegion;
-    const std::vector<RegionShare>& shares = request.regionShares->sharesOf(
-        fleet, request.service.name, request.roundTripsMs, request.shiftLimiter.isStarting());
     const size_t found = RegionShares::regionOf(
         objectHash, shares, [&request](const std::string& region) { return isHomeRegion(request.rule, region); });
     return found == shares.size() ? request.ownRegion : shares[found].region;
 }
 
+// Returns why the server is left out, whatever the other servers are like.
+ServerExclusion exclusionOf(
+    const BackendFleet& fleet, const RankingRequest& request, const BackendServer& server, SteadyTime now)
+{
+    if (!fleet.isUsable(server))
+        return server.isLeaving ? ServerExclusion::Leaving : ServerExclusion::Evacuated;
+    if (request.excludedServers.contains(&server))
+        return ServerExclusion::AlreadyTried;
+    if (!isHomeRegion(request.rule, server.region))
+        return ServerExclusion::OtherHomeRegion;
+    if (!isAcceptingRequests(server, now))
+        return server.pausedUntil > now ? ServerExclusion::Pausing : ServerExclusion::Resuming;
+    return ServerExclusion::None;
+}
+
+// Removes the candidates for which `isExcluded` returns true and adds them to `excluded`, if that is not null.
+template <typename IsExcluded>
+void removeCandidates(std::vector<Candidate>& candidates, ServerExclusion reason, const IsExcluded& isExcluded,
+    std::vector<ExcludedServer>* excluded)
+{
+    std::erase_if(candidates, [&](const Candidate& candidate) {
+        if (!isExcluded(candidate))
+            return false;
+        if (excluded)
+            excluded->push_back({ candidate.server, reason });
+        return true;
+    });
+}
+
 // Returns the servers that may execute the request, in the object's rendezvous order. Servers that were recently
 // unreachable are left out unless all of them were.
-std::vector<Candidate> findCandidates(const BackendFleet& fleet, const PlacementRequest& request,
-    const std::string& objectRegion, uint64_t objectHash, SteadyTime now)
+std::vector<Candidate> findCandidates(const BackendFleet& fleet, const RankingRequest& request,
+    const std::string& objectRegion, uint64_t objectHash, SteadyTime now, std::vector<ExcludedServer>* excluded)
 {
     std::vector<Candidate> candidates;
     for (const BackendServerPointer& server : fleet.servers(request.service.name)) {
-        if (!fleet.isUsable(*server) || request.excludedServers.contains(server.get())
-            || !isHomeRegion(request.rule, server->region) || !isAcceptingRequests(*server, now))
+        const ServerExclusion exclusion = exclusionOf(fleet, request, *server, now);
+        if (exclusion != ServerExclusion::None) {
+            if (excluded)
+                excluded->push_back({ server, exclusion });
             continue;
+        }
         candidates.push_back(
             { server, combineHashes(objectHash, server->placementHash), estimateLoad(*server, now), false, {} });
     }
     const auto isAvoided = [now](const Candidate& candidate) { return candidate.server->avoidUntil > now; };
     if (!std::all_of(candidates.begin(), candidates.end(), isAvoided))
-        std::erase_if(candidates, isAvoided);
+        removeCandidates(candidates, ServerExclusion::Avoided, isAvoided, excluded);
     std::sort(candidates.begin(), candidates.end(),
         [](const Candidate& left, const Candidate& right) { return left.rank > right.rank; });
     std::map<std::string_view, size_t> serversByRegion;
@@ -172,8 +197,9 @@
 
 // Removes the servers of other regions than the own and the object's if the shift limiter currently allows no further
 // cross-region requests and the own region has a candidate. The regions of objects change slowly enough by themselves.
-void limitCandidatesToOwnRegion(
-    std::vector<Candidate>& candidates, const PlacementRequest& request, const std::string& objectRegion)
+// Returns the usable slots of the own region's candidates.
+double limitCandidatesToOwnRegion(std::vector<Candidate>& candidates, const RankingRequest& request,
+    const std::string& objectRegion, std::vector<ExcludedServer>* excluded)
 {
     double slots = 0;
     bool hasOwnRegionCandidate = false;
@@ -183,11 +209,13 @@
         hasOwnRegionCandidate = true;
         slots += candidate.server->failureRate < failingServerRate ? usableSlots(*candidate.server) : 0;
     }
-    request.shiftLimiter.recordOwnRegionSlots(request.service.name, slots);
-    if (hasOwnRegionCandidate && !request.shiftLimiter.canSendCrossRegion(request.service.name))
-        std::erase_if(candidates, [&](const Candidate& candidate) {
+    if (hasOwnRegionCandidate && !request.shiftLimiter.canSendCrossRegion(request.service.name, slots)) {
+        const auto isElsewhere = [&](const Candidate& candidate) {
             return candidate.server->region != request.ownRegion && candidate.server->region != objectRegion;
-        });
+        };
+        removeCandidates(candidates, ServerExclusion::ShiftLimit, isElsewhere, excluded);
+    }
+    return slots;
 }
 
 bool hasRecentlyHandled(const BackendServer& server, uint64_t objectHash, SteadyTime now)
@@ -220,7 +248,7 @@
     return statistics;
 }
 
-double networkDelayMs(const PlacementRequest& request, const BackendServer& server)
+double networkDelayMs(const RankingRequest& request, const BackendServer& server)
 {
     if (server.region == request.ownRegion)
         return 0;
@@ -231,7 +259,7 @@
 
 // Estimates the waiting and processing time on the candidate server and computes its score.
 PlacementChoice scoreCandidate(const Candidate& candidate, bool isPreferred, bool isInObjectRegion,
-    const ServiceStatistics& statistics, const PlacementRequest& request, const ProcessingTimeEstimate& processingTime,
+    const ServiceStatistics& statistics, const RankingRequest& request, const ProcessingTimeEstimate& processingTime,
     uint64_t objectHash, SteadyTime now)
 {
     const BackendServer& server = *candidate.server;
@@ -381,17 +409,48 @@
     return choice.expectedWaitMs <= 0 || choice.score > (isReturning ? returningScoreThreshold : 0);
 }
 
-std::optional<PlacementChoice> chooseServer(
-    BackendFleet& fleet, const PlacementRequest& request, const ProcessingTimeEstimate& processingTime, SteadyTime now)
+const char* toString(ServerExclusion exclusion) noexcept
 {
-    if (now >= request.deadline)
-        return std::nullopt;
+    switch (exclusion) {
+    case ServerExclusion::None:
+        return "none";
+    case ServerExclusion::Leaving:
+        return "leaving";
+    case ServerExclusion::Evacuated:
+        return "evacuated";
+    case ServerExclusion::OtherHomeRegion:
+        return "not-home-region";
+    case ServerExclusion::AlreadyTried:
+        return "already-tried";
+    case ServerExclusion::Pausing:
+        return "pausing";
+    case ServerExclusion::Resuming:
+        return "resuming";
+    case ServerExclusion::Avoided:
+        return "unreachable";
+    case ServerExclusion::ShiftLimit:
+        return "shift-limit";
+    case ServerExclusion::ColdOtherSender:
+        return "cold-other-sender";
+    case ServerExclusion::ColdWithoutToken:
+        return "cold-no-token";
+    }
+    return "unknown";
+}
+
+ServerRanking rankServers(const BackendFleet& fleet, const RankingRequest& request,
+    const ProcessingTimeEstimate& processingTime, SteadyTime now, std::vector<ExcludedServer>* excluded)
+{
+    ServerRanking ranking;
     const uint64_t objectHash = objectHashOf(request.rule, request.affinityKey);
-    const std::string objectRegion = regionOfObject(fleet, request, objectHash);
-    std::vector<Candidate> candidates = findCandidates(fleet, request, objectRegion, objectHash, now);
+    ranking.objectHash = objectHash;
+    ranking.objectRegion = regionOfObject(request, objectHash);
+    const std::string& objectRegion = ranking.objectRegion;
+    ranking.candidates = findCandidates(fleet, request, objectRegion, objectHash, now, excluded);
+    std::vector<Candidate>& candidates = ranking.candidates;
     if (candidates.empty())
-        return std::nullopt;
-    limitCandidatesToOwnRegion(candidates, request, objectRegion);
+        return ranking;
+    ranking.ownRegionSlots = limitCandidatesToOwnRegion(candidates, request, objectRegion, excluded);
     // The preferred server is the first one of the object's region, or else of the own region, or else of all.
     const auto firstInRegion = [&candidates](const std::string& region) {
         return std::find_if(candidates.begin(), candidates.end(),
@@ -402,7 +461,7 @@
         first = firstInRegion(request.ownRegion);
     Candidate* preferred = first == candidates.end() ? &candidates.front() : &*first;
     const bool isObjectElsewhere = objectRegion != request.ownRegion;
-    const ServiceStatistics statistics
+    ServiceStatistics statistics
         = computeServiceStatistics(candidates, request.ownRegion, objectRegion, objectHash, now);
     for (Candidate& candidate : candidates)
         candidate.choice = scoreCandidate(candidate, &candidate == preferred,
@@ -414,18 +473,70 @@
         return left.choice.score != right.choice.score ? left.choice.score > right.choice.score
                                                        : left.rank > right.rank;
     });
-    for (Candidate& candidate : candidates) {
+    ranking.utilisations = std::move(statistics.utilisations);
+    return ranking;
+}
+
+namespace {
+
+// Returns the first candidate that is not cold, or for which `takeColdToken` returns true.
+template <typename TakeColdToken>
+std::optional<PlacementChoice> selectServer(const RankingRequest& request, const ServerRanking& ranking, SteadyTime now,
+    const TakeColdToken& takeColdToken, std::vector<ExcludedServer>* skipped)
+{
+    for (const Candidate& candidate : ranking.candidates) {
         BackendServer& server = *candidate.server;
-        candidate.choice.utilisation = statistics.utilisations.at(server.region);
-        if (server.coldUntil <= now)
-            return candidate.choice;
         // Only instances of the server's own region send to it during its cold start, so that the shares of all senders
         // add up to the rate that the server accepts.
-        if (server.region == request.ownRegion && request.coldServerSenders.isSenderTo(server.placementHash)
-            && fleet.tryTakeColdToken(server, request.service.coldRequestsPerSecond, request.coldServerSenders.count()))
-            return candidate.choice;
+        const bool isSender = server.coldUntil <= now
+            || (server.region == request.ownRegion && request.coldServerSenders.isSenderTo(server.placementHash));
+        if (isSender && (server.coldUntil <= now || takeColdToken(server))) {
+            PlacementChoice choice = candidate.choice;
+            choice.utilisation = ranking.utilisations.at(server.region);
+            return choice;
+        }
+        if (skipped)
+            skipped->push_back(
+                { candidate.server, isSender ? ServerExclusion::ColdWithoutToken : ServerExclusion::ColdOtherSender });
     }
     return std::nullopt;
 }
 
 }
+
+std::optional<PlacementChoice> previewChoice(const BackendFleet& fleet, const RankingRequest& request,
+    const ServerRanking& ranking, SteadyTime now, std::vector<ExcludedServer>* skipped)
+{
+    if (now >= request.deadline)
+        return std::nullopt;
+    const auto hasColdToken = [&](const BackendServer& server) {
+        return fleet.hasColdToken(server, request.service.coldRequestsPerSecond, request.coldServerSenders.count());
+    };
+    return selectServer(request, ranking, now, hasColdToken, skipped);
+}
+
+std::optional<PlacementChoice> chooseServer(
+    BackendFleet& fleet, const PlacementRequest& request, const ProcessingTimeEstimate& processingTime, SteadyTime now)
+{
+    if (now >= request.deadline)
+        return std::nullopt;
+    static const std::vector<RegionShare> noShares;
+    const std::vector<RegionShare>& shares = request.regionShares && !request.affinityKey.empty()
+        ? request.regionShares->sharesOf(
+            fleet, request.service.name, request.roundTripsMs, request.shiftLimiter.isStarting())
+        : noShares;
+    const RankingRequest rankingRequest { request.rule, request.service, request.affinityKey, request.ownRegion,
+        request.ownFailureDomain, request.roundTripsMs, request.hasConnection, request.arrivedAt, request.deadline,
+        request.shiftLimiter, request.coldServerSenders, request.excludedServers, request.isPreferredServerWarm,
+        shares };
+    const ServerRanking ranking = rankServers(fleet, rankingRequest, processingTime, now);
+    if (ranking.candidates.empty())
+        return std::nullopt;
+    request.shiftLimiter.recordOwnRegionSlots(request.service.name, ranking.ownRegionSlots);
+    const auto takeColdToken = [&](BackendServer& server) {
+        return fleet.tryTakeColdToken(server, request.service.coldRequestsPerSecond, request.coldServerSenders.count());
+    };
+    return selectServer(rankingRequest, ranking, now, takeColdToken, nullptr);
+}
+
+}
--- a/src/edge/src/RegionShares.cpp
+++ b/src/edge/src/RegionShares.cpp
@@ -40,6 +40,9 @@
 constexpr double maximumRefusedRatio = 0.7;
 constexpr double loggedChange = 0.1;
 
+// All objects belong to the own region.
+const std::vector<RegionShare> noShares;
+
 uint32_t demandKeyOf(const std::string& service, const std::string& region)
 {
     return static_cast<uint32_t>(hash64(region, hash64(service)));
@@ -277,10 +280,15 @@
         this->changeHook({ service, ownShare, state.demand, state.ownSlots });
 }
 
+const std::vector<RegionShare>& RegionShares::currentShares(const std::string& service) const
+{
+    const auto found = this->services.find(service);
+    return found != this->services.end() && found->second.isSpread ? found->second.shares : noShares;
+}
+
 const std::vector<RegionShare>& RegionShares::sharesOf(const BackendFleet& fleet, const std::string& service,
     const std::map<std::string, double>& roundTripsMs, bool isStarting)
 {
-    static const std::vector<RegionShare> none;
     ServiceShares& state = this->services[service];
     if (state.shares.empty() || this->clock.now() - state.updatedAt >= updateInterval) {
         const std::vector<RegionRoom> rooms = this->findRooms(fleet, service, roundTripsMs);
@@ -292,7 +300,7 @@
         state.isSpread = state.shares.front().share < 1;
         this->reportChange(service, state);
     }
-    return state.isSpread ? state.shares : none;
+    return state.isSpread ? state.shares : noShares;
 }
 
 void RegionShares::forEachShare(const std::function<void(const std::string&, const RegionShare&)>& visit) const
--- a/src/edge/src/ShiftLimiter.cpp
+++ b/src/edge/src/ShiftLimiter.cpp
@@ -86,21 +86,39 @@
 
 void ShiftLimiter::recordOwnRegionSlots(const std::string& service, double slots)
 {
-    const SteadyTime now = this->clock.now();
-    RegionCapacity& capacity = this->ownRegionCapacities[service];
-    capacity.currentSlots = slots;
-    if (slots < capacity.peakSlots && now - capacity.peakAt < peakSlotsValidity)
+    this->ownRegionCapacities[service].record(slots, this->clock.now());
+}
+
+void ShiftLimiter::RegionCapacity::record(double slots, SteadyTime now) noexcept
+{
+    this->currentSlots = slots;
+    if (slots < this->peakSlots && now - this->peakAt < peakSlotsValidity)
         return;
-    capacity.peakSlots = slots;
-    capacity.peakAt = now;
+    this->peakSlots = slots;
+    this->peakAt = now;
+}
+
+bool ShiftLimiter::RegionCapacity::isLost() const noexcept
+{
+    return this->currentSlots < lostCapacityRatio * this->peakSlots;
 }
 
 bool ShiftLimiter::canSendCrossRegion(const std::string& service) const
 {
     const auto capacity = this->ownRegionCapacities.find(service);
-    if (capacity != this->ownRegionCapacities.end()
-        && capacity->second.currentSlots < lostCapacityRatio * capacity->second.peakSlots)
-        return true;
+    return (capacity != this->ownRegionCapacities.end() && capacity->second.isLost()) || this->hasTokenOrNoLimit();
+}
+
+bool ShiftLimiter::canSendCrossRegion(const std::string& service, double ownRegionSlots) const
+{
+    const auto known = this->ownRegionCapacities.find(service);
+    RegionCapacity capacity = known == this->ownRegionCapacities.end() ? RegionCapacity() : known->second;
+    capacity.record(ownRegionSlots, this->clock.now());
+    return capacity.isLost() || this->hasTokenOrNoLimit();
+}
+
+bool ShiftLimiter::hasTokenOrNoLimit() const
+{
     const CrossRegionRatios ratios = this->currentCrossRegionRatios();
     // A steady or falling ratio is not limited; a growing ratio is limited by the tokens.
     return ratios.isStarting || ratios.recent < ratios.baseline || this->tokens >= 1;
