ServerCapacity: no speed above the median, bounded samples

Cause: chance differences of speed above the median attracted requests for objects that the servers do not have in their caches, and objects evicted from caches (3.4 times as long as expected) made healthy servers slow. Estimates were worse than none with busy neighbours and when all servers are slow. Change: speed is at most 1; a sample changes a band's mean by at most a factor of 3; deviations within 65% count as chance; samples decay with 2.5 s and at most 4 count for a band, prior weight 0.5. New case: healthy servers under load. The cases check also that estimates are not worse than none. Bounding single samples at 3 times the expected duration: a server five times as slow is not known as such (LoadHubTest).

--- a/src/edge/src/BackendFleet.cpp
+++ b/src/edge/src/BackendFleet.cpp
@@ -22,12 +22,15 @@
 constexpr size_t maximumCachedObjects = 256;
 // A server's estimate comes from a status table until the table is this old; hubs send tables far more often.
 constexpr Milliseconds statusTableValidity(1000);
-// Deviations from the median within this (in logarithms, about 28%) count as chance: busy neighbours on the machines
-// and objects that were evicted from caches make the means of healthy servers differ.
-constexpr double insignificantDeviation = 0.25;
-// Bounds of the speed relative to the median.
+// Deviations from the median within this (in logarithms, about 65%) count as chance: busy neighbours on the machines
+// and objects that were evicted from caches make the means of healthy servers differ. 0.25 took healthy servers for
+// slow ones when all servers were equally slow.
+constexpr double insignificantDeviation = 0.5;
+// Bounds of the speed relative to the median. Servers do not count as faster than the median: chance differences
+// attracted requests for objects that these servers do not have in their caches, and busy neighbours cost a tenth of
+// the responses in time.
 constexpr double minimumSpeed = 0.05;
-constexpr double maximumSpeed = 3;
+constexpr double maximumSpeed = 1;
 // Maximum number of objects in one report to the hub. Objects beyond it are not reported until they are used again.
 constexpr size_t maximumReportedObjects = 60;
 // How long a server is avoided after the hub reported that other instances cannot reach it.
--- a/src/edge/src/ServerCapacity.cpp
+++ b/src/edge/src/ServerCapacity.cpp
@@ -7,12 +7,14 @@
 
 namespace {
 
-// Samples lose their weight with this time constant, so that a server that got nothing is soon tried again.
-constexpr double sampleDecayMs = 4000;
+// Samples lose their weight with this time constant, so that a server that got nothing is soon tried again. 4000 ms
+// left speeds that swapped at 0.94 of the oracle's responses in time; the target is 0.95.
+constexpr double sampleDecayMs = 2500;
 // Largest weight of a band in one domain's statistics. Small enough that the samples of 2 s outweigh older ones.
-constexpr double maximumBandWeight = 8;
-// Weight of the assumption that a server is like the others, in samples.
-constexpr double priorWeight = 2;
+constexpr double maximumBandWeight = 4;
+// Weight of the assumption that a server is like the others, in samples. Small beside maximumBandWeight, so that a
+// server that is five times as slow is known as such.
+constexpr double priorWeight = 0.5;
 // Weight from which a band's mean is compared with others: fewer samples can differ by a slow request (3% take up to 7
 // times as long).
 constexpr double minimumBandWeight = 3;
@@ -22,9 +24,12 @@
 constexpr double maximumSlowdown = 10;
 // A knee without samples beyond it is raised by a band after this time.
 constexpr Milliseconds kneeRetryInterval(10000);
-// Bounds of a single sample, so that one very slow response does not dominate the mean.
+// Bounds of a single sample.
 constexpr double minimumRatio = 0.2;
 constexpr double maximumRatio = 20;
+// Largest deviation of a sample from the mean of its band, as a factor, so that one very slow response does not
+// dominate the mean: an object that was evicted from the cache takes 3.4 times as long as expected.
+constexpr double maximumDeviation = 3;
 // Statistics without samples for this long are removed; their weight has decayed to below 1%.
 constexpr Milliseconds statisticsValidity(20000);
 // Weights of the reasons to tell other hubs about a server: a changed ratio, a knee, and seconds since the last time.
@@ -32,6 +37,12 @@
 constexpr double kneePriority = 1;
 constexpr double agePriorityPerSecond = 0.2;
 
+double meanLogRatioOf(const LoadBandSamples& samples)
+{
+    return std::clamp(10.0 * samples.logRatioSumPercent / 100.0 / samples.weightTenths, std::log(minimumRatio),
+        std::log(maximumRatio));
+}
+
 double ageSeconds(SteadyTime from, SteadyTime to) { return std::chrono::duration<double>(to - from).count(); }
 
 }
@@ -87,8 +98,8 @@
         return;
     Band& band = statistics.bands[samples.band];
     const double weight = samples.weightTenths / 10.0;
-    const double mean
-        = std::clamp(samples.logRatioSumPercent / 100.0 / weight, std::log(minimumRatio), std::log(maximumRatio));
+    const double maximum = std::log(maximumDeviation);
+    const double mean = std::clamp(meanLogRatioOf(samples), band.meanLogRatio - maximum, band.meanLogRatio + maximum);
     band.meanLogRatio += (mean - band.meanLogRatio) * weight / (band.weight + weight);
     band.weight = std::min(band.weight + weight, maximumBandWeight);
 }
@@ -108,8 +119,11 @@
     Statistics& statistics = this->servers[summary.server].remote[sender];
     statistics = {};
     statistics.updatedAt = this->clock.now();
-    for (const LoadBandSamples& band : summary.bands)
-        addSamples(statistics, band);
+    for (const LoadBandSamples& band : summary.bands) {
+        if (band.band < loadBandCount && band.weightTenths > 0)
+            statistics.bands[band.band]
+                = { std::min(band.weightTenths / 10.0, maximumBandWeight), meanLogRatioOf(band) };
+    }
 }
 
 ServerCapacityTracker::Statistics ServerCapacityTracker::mergedStatistics(const ServerState& state) const
--- a/src/edge/tests/ServerCapacitySimulationTest.cpp
+++ b/src/edge/tests/ServerCapacitySimulationTest.cpp
@@ -19,6 +19,8 @@
 
 constexpr double goodputRatio = 0.95;
 constexpr double p99Ratio = 1.2;
+// Lowest ratio of the responses in time without estimates: chance alone makes runs differ by 0.02.
+constexpr double neutralRatio = 0.97;
 
 Workload baseWorkload()
 {
@@ -32,24 +34,28 @@
     return load;
 }
 
+// Compares the estimates with an oracle, and with no estimates, from `fromSecond` on.
+void compare(const char* name, const Workload& load, size_t fromSecond = 6)
+{
+    const auto end = static_cast<size_t>(load.seconds);
+    const simulation::Result oracle = simulation::run(Policy::PlacementWithOracle, load, seed());
+    const simulation::Result estimated = simulation::run(Policy::Placement, load, seed());
+    const simulation::Result neutral = simulation::run(Policy::PlacementWithoutCapacity, load, seed());
+    const double fromMs = 1000.0 * static_cast<double>(fromSecond);
+    const double inTime = estimated.inTimeRatioBetween(fromSecond, end);
+    const double oracleInTime = oracle.inTimeRatioBetween(fromSecond, end);
+    const double neutralInTime = neutral.inTimeRatioBetween(fromSecond, end);
+    std::printf("%s: in time %.3f (oracle %.3f, without estimates %.3f), p99 %.0f ms (%.0f, %.0f)\n", name, inTime,
+        oracleInTime, neutralInTime, estimated.p99Ms(fromMs, 1e9), oracle.p99Ms(fromMs, 1e9),
+        neutral.p99Ms(fromMs, 1e9));
+    CHECK_TRUE(inTime >= goodputRatio * oracleInTime);
+    CHECK_TRUE(inTime >= neutralRatio * neutralInTime);
+    CHECK_TRUE(estimated.p99Ms(fromMs, 1e9) <= p99Ratio * oracle.p99Ms(fromMs, 1e9));
 }
 
-TEST_GROUP(ServerCapacitySimulation) { // Compares the estimates with an oracle, from `fromSecond` on.
-    static void compare(const char* name, const Workload& load, size_t fromSecond = 6) {
-        const auto end = static_cast<size_t>(load.seconds);
-const simulation::Result oracle = simulation::run(Policy::PlacementWithOracle, load, seed());
-const simulation::Result estimated = simulation::run(Policy::Placement, load, seed());
-const simulation::Result neutral = simulation::run(Policy::PlacementWithoutCapacity, load, seed());
-const double fromMs = 1000.0 * static_cast<double>(fromSecond);
-std::printf("%s: in time %.3f (oracle %.3f, without estimates %.3f), p99 %.0f ms (%.0f, %.0f)\n", name,
-    estimated.inTimeRatioBetween(fromSecond, end), oracle.inTimeRatioBetween(fromSecond, end),
-    neutral.inTimeRatioBetween(fromSecond, end), estimated.p99Ms(fromMs, 1e9), oracle.p99Ms(fromMs, 1e9),
-    neutral.p99Ms(fromMs, 1e9));
-CHECK_TRUE(estimated.inTimeRatioBetween(fromSecond, end) >= goodputRatio * oracle.inTimeRatioBetween(fromSecond, end));
-CHECK_TRUE(estimated.p99Ms(fromMs, 1e9) <= p99Ratio * oracle.p99Ms(fromMs, 1e9));
-}
 }
-;
+
+TEST_GROUP(ServerCapacitySimulation) {};
 
 // Guards against requests that go to slow servers as often as to others.
 TEST(ServerCapacitySimulation, aThirdOfTheServersIsTwiceAsSlow)
@@ -117,3 +123,12 @@
     load.trueCapacity = [](size_t, double) { return ServerCapacityEstimate {}; };
     compare("all slow", load);
 }
+
+// Guards against knees and slowness found in servers that are all alike and nearly full.
+TEST(ServerCapacitySimulation, healthyServersUnderLoad)
+{
+    Workload load = baseWorkload();
+    load.requestsPerSecond = 560;
+    load.trueCapacity = [](size_t, double) { return ServerCapacityEstimate {}; };
+    compare("healthy under load", load);
+}
