Placement: the slowdown beyond a knee is a delay, not a cost; fewer false knees

Cause: the score counted the slowdown beyond the knee also as occupied slots and as a penalty. Change: cost is the time without the slowdown; a knee is found from 2.1 times on.

--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -249,6 +249,10 @@
     if (now < server.coldUntil)
         choice.expectedProcessingMs *= coldServerProcessingFactor;
     choice.load = candidate.load;
+    // Beyond the knee, a request takes longer on slots that are otherwise left unused. Counting that time as a cost
+    // sent requests for cached objects to servers that had to execute them uncached, until all servers were beyond the
+    // knee.
+    const double costMs = choice.expectedProcessingMs * processingFactor(server, 0);
     choice.expectedProcessingMs *= processingFactor(server, candidate.load + 1);
     choice.expectedWaitMs = queueWaitMs(candidate.load, server, processingTime);
 
@@ -265,11 +269,9 @@
     choice.score
         = successProbability * (probabilityInTime + lateAnswerScore * (probabilityBeforeDeadline - probabilityInTime));
     // The first execution of an object in its region is needed anyway, so that it counts like a later one.
-    const double occupiedMs = isPreferred && isInObjectRegion
-        ? std::min(choice.expectedProcessingMs, processingTime.cachedMs)
-        : choice.expectedProcessingMs;
+    const double occupiedMs = isPreferred && isInObjectRegion ? std::min(costMs, processingTime.cachedMs) : costMs;
     choice.score -= statistics.slotCosts.at(server.region) * occupiedMs / std::max(processingTime.cachedMs, 1.0);
-    choice.score -= penaltyPerMs * (choice.expectedWaitMs + choice.expectedProcessingMs);
+    choice.score -= penaltyPerMs * (choice.expectedWaitMs + costMs);
     // The object's region was chosen with its distance in mind.
     if (!isInObjectRegion)
         choice.score -= penaltyPerOtherRegionMs * delayMs;
--- a/src/edge/src/ServerCapacity.cpp
+++ b/src/edge/src/ServerCapacity.cpp
@@ -18,8 +18,9 @@
 // Weight from which a band's mean is compared with others: fewer samples can differ by a slow request (3% take up to 7
 // times as long).
 constexpr double minimumBandWeight = 3;
-// Durations beyond the knee relative to those below it, from which a knee is found and below which it is given up.
-constexpr double foundSlowdown = 1.8;
+// Durations beyond the knee relative to those below it, from which a knee is found and below which it is given up. 1.8
+// found knees in servers that have none; 2.4 found real ones no more reliably.
+constexpr double foundSlowdown = 2.1;
 constexpr double givenUpSlowdown = 1.4;
 constexpr double maximumSlowdown = 10;
 // A knee without samples beyond it is raised by a band after this time.
