Placement: knees do not count as lost servers for the limit of shifts

ShiftLimiter suspends its limit when the slots of the own region fall below 0.75 of their peak, and it was given the slots up to the knees, which fall when knees are found. Change: it gets all slots. Ruled out: RegionShares, which moves 0.045 of the objects a second whatever the slots are. Result: Placement.kneesAreNoLostServers fails before and passes now.

--- a/src/edge/include/wagtailrack/edge/BackendFleet.h
+++ b/src/edge/include/wagtailrack/edge/BackendFleet.h
@@ -102,6 +102,8 @@
 
 // Returns whether the server's own wish to get no requests, or only few after a pause, allows one more request.
 bool isAcceptingRequests(const BackendServer& server, SteadyTime now) noexcept;
+// Number of requests that the server executes at the same time, as it tells; at least 1.
+double slotsOf(const BackendServer& server) noexcept;
 // Number of requests that the server processes at the same time without getting slower; at least 1.
 double usableSlots(const BackendServer& server) noexcept;
 // Processing time on the server with this number of requests, relative to a server of usual speed.
--- a/src/edge/src/BackendFleet.cpp
+++ b/src/edge/src/BackendFleet.cpp
@@ -40,13 +40,13 @@
 
 double updatedAverage(double average, double sample, double weight) { return average + weight * (sample - average); }
 
+}
+
 double slotsOf(const BackendServer& server) noexcept
 {
     return static_cast<double>(std::max<int64_t>(server.record.slots, 1));
 }
 
-}
-
 bool isAcceptingRequests(const BackendServer& server, SteadyTime now) noexcept
 {
     return server.pausedUntil <= now && (server.resumeWindow == 0 || server.inFlight < server.resumeWindow);
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -207,7 +207,9 @@
         if (candidate.server->region != request.ownRegion)
             continue;
         hasOwnRegionCandidate = true;
-        slots += candidate.server->failureRate < failingServerRate ? usableSlots(*candidate.server) : 0;
+        // All slots, not those up to the knee: servers that are found to have a knee are not lost ones, for which the
+        // limit of shifts is suspended.
+        slots += candidate.server->failureRate < failingServerRate ? slotsOf(*candidate.server) : 0;
     }
     if (hasOwnRegionCandidate && !request.shiftLimiter.canSendCrossRegion(request.service.name, slots)) {
         const auto isElsewhere = [&](const Candidate& candidate) {
--- a/src/edge/tests/PlacementTest.cpp
+++ b/src/edge/tests/PlacementTest.cpp
@@ -178,6 +178,23 @@
     CHECK_TRUE(choice->isObjectCached);
 }
 
+// Guards against the limit of shifts between regions being suspended because knees are found, as if servers were lost:
+// a day with a knee at half of the slots moved 0.25 of a region's requests within 2 s.
+TEST(Placement, kneesAreNoLostServers)
+{
+    this->choose("17");
+    for (int request = 0; request < 500; ++request) {
+        this->clock.advance(Milliseconds(10));
+        this->shiftLimiter.recordSend(false);
+    }
+    while (this->shiftLimiter.canSendCrossRegion("prices"))
+        this->shiftLimiter.recordSend(true);
+    for (const BackendServerPointer& server : this->fleet.servers("prices"))
+        server->capacity = { 1, 0.5, 4, 1, this->clock.now() };
+    this->choose("17");
+    CHECK_FALSE(this->shiftLimiter.canSendCrossRegion("prices"));
+}
+
 // Guards against late responses because the time to open a connection to another region was not taken into account.
 TEST(Placement, openingAConnectionToAnotherRegionCostsARoundTrip)
 {
