RequestForwarder: processing times are learned below the knee and from servers of usual speed

Cause: the route's processing times were learned also at full load, from slow servers and on busy machines; a server in its cold start counted as slow, because the expected duration lacked the factor of a cold start; the samples passed the load at sending only. Change: measuredLoadRatio() of the response's load report in the sample; the route learns only from requests that did not wait, on servers below their knee, not known as slow and not cold, with the duration divided by the machine factor. Preconnections only to servers of usual speed.

--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -163,10 +163,9 @@
     bool resolveWorkspace(ForwardingState& state);
     static ConnectionUse connectionUseOf(const ForwardingState& state);
     std::shared_ptr<Call> makeCall(const ForwardingState& state, const BackendServer& server) const;
-    // `durationMs` is the duration of the attempt without the time to connect and the network round trip;
-    // `machineFactor` as in DurationSample.
+    // `durationMs` is the duration of the attempt without the time to connect and the network round trip.
     void recordProcessingTime(const ForwardingState& state, BackendServer& server, const PlacementChoice& choice,
-        double durationMs, double machineFactor);
+        double durationMs, const ReportedServerLoad& reported);
     // Finds out whether the server of an attempt that ended without a response has ended.
     void investigateBrokenAttempt(
         const ForwardingState& state, const BackendServerPointer& server, const Call& call, SteadyTime sentAt);
@@ -176,8 +175,8 @@
     void applyServerNotices(BackendServer& server, const http::response_header<>& head);
     // Rejects a request for which no server may be used, as not executed.
     void rejectWithoutServer(ForwardingState& state);
-    // Records the load that the server tells in its response. Returns the machine factor, 1 if the response has none.
-    double recordServerLoad(BackendServer& server, const HttpResponse& response);
+    // Records the load that the server tells in its response, and returns it.
+    ReportedServerLoad recordServerLoad(BackendServer& server, const HttpResponse& response);
     // Rejects the request as not executed, with a Retry-After of at most a third of the time that its caller has left.
     void reject(ForwardingState& state, const char* reason, double retryAfterSeconds);
     // As reject(), with a Retry-After that may be longer than the caller waits.
--- a/src/edge/include/wagtailrack/edge/ServerCapacity.h
+++ b/src/edge/include/wagtailrack/edge/ServerCapacity.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace wagtailrack::edge {
@@ -34,6 +35,16 @@
     friend bool operator==(const ReportedLoad&, const ReportedLoad&) = default;
 };
 
+// What a server tells about itself in a response.
+struct ReportedServerLoad {
+    // Missing if the response has no load report, or a damaged one.
+    std::optional<ReportedLoad> load;
+    // As in DurationSample; 1 if it is missing.
+    double machineFactor = 1;
+
+    friend bool operator==(const ReportedServerLoad&, const ReportedServerLoad&) = default;
+};
+
 // Load at which a request was processed: the mean of the load when it was sent, `sentLoadRatio`, and of that with its
 // response, because the load changes meanwhile. Above 1 if requests waited at the server.
 double measuredLoadRatio(double sentLoadRatio, const ReportedLoad& reported) noexcept;
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -109,6 +109,9 @@
 }
 
 // Requests per slot on the chosen server, including the one that it is chosen for.
+// Processing time on a server in its cold start, relative to a server after it; the same as in Placement.
+constexpr double coldServerProcessingFactor = 2;
+
 double loadRatioOf(const PlacementChoice& choice)
 {
     return (choice.load + 1) / static_cast<double>(std::max<int64_t>(choice.server->record.slots, 1));
@@ -848,7 +851,7 @@
     this->rejectFor(state, "servers-pause", std::min(millisecondsSince(now, *pauseEnd) / 1000, leftSeconds));
 }
 
-double RequestForwarder::recordServerLoad(BackendServer& server, const HttpResponse& response)
+ReportedServerLoad RequestForwarder::recordServerLoad(BackendServer& server, const HttpResponse& response)
 {
     constexpr double usualMachinePercent = 100;
     const std::string text = headerValue(response.base(), this->dependencies.headers.serverLoad);
@@ -861,21 +864,31 @@
         rest.remove_prefix(std::min(comma + 1, rest.size()));
     }
     const auto [executing, waiting, slots, machinePercent] = figures;
-    if (executing >= 0 && waiting >= 0 && slots >= 0)
+    ReportedServerLoad reported;
+    if (executing >= 0 && waiting >= 0 && slots >= 0) {
         this->dependencies.fleet.recordLoadReport(server, executing, waiting, slots);
-    return machinePercent > 0 ? static_cast<double>(machinePercent) / usualMachinePercent : 1;
+        reported.load = ReportedLoad { executing, waiting, slots };
+    }
+    if (machinePercent > 0)
+        reported.machineFactor = static_cast<double>(machinePercent) / usualMachinePercent;
+    return reported;
 }
 
 void RequestForwarder::recordProcessingTime(const ForwardingState& state, BackendServer& server,
-    const PlacementChoice& choice, double durationMs, double machineFactor)
+    const PlacementChoice& choice, double durationMs, const ReportedServerLoad& reported)
 {
-    const double waitMs = choice.expectedWaitMs;
     ProcessingTimeEstimate& processingTime = this->processingTimeOf(state.rule);
     const double base = choice.isObjectCached ? processingTime.cachedMs : processingTime.uncachedMs;
-    this->dependencies.fleet.recordDuration(server, { durationMs, waitMs + base, loadRatioOf(choice), machineFactor });
-    // The processing time is known only for requests that did not wait, on servers that are not cold.
-    if (waitMs > 0 || this->dependencies.clock.now() < server.coldUntil)
+    const double loadRatio
+        = reported.load ? measuredLoadRatio(loadRatioOf(choice), *reported.load) : loadRatioOf(choice);
+    const bool isCold = this->dependencies.clock.now() < server.coldUntil;
+    const double expectedMs = choice.expectedWaitMs + (isCold ? coldServerProcessingFactor * base : base);
+    this->dependencies.fleet.recordDuration(server, { durationMs, expectedMs, loadRatio, reported.machineFactor });
+    // The route's processing time is known only for requests that did not wait, on servers that are not cold, not
+    // beyond their knee and not known as slow. Latency at full load would be learned as the floor otherwise.
+    if (isCold || choice.expectedWaitMs > 0 || loadRatio > server.capacity.knee || server.capacity.speed < 1)
         return;
+    durationMs /= reported.machineFactor;
     // A low quantile, because some requests wait unnoticed behind requests of other instances, and some objects are not
     // cached.
     double& estimate = choice.isObjectCached ? processingTime.cachedMs : processingTime.uncachedMs;
@@ -891,7 +904,7 @@
     const unsigned status = response.result_int();
     const EdgeHeaderNames& headers = this->dependencies.headers;
     const bool isIdempotent = state.rule.idempotency == version::Idempotency::Idempotent;
-    const double machineFactor = this->recordServerLoad(server, response);
+    const ReportedServerLoad reported = this->recordServerLoad(server, response);
     if (status == 421 || !headerValue(response.base(), headers.notExecuted).empty()) {
         this->dependencies.fleet.endAttempt(server, status == 421 ? AttemptOutcome::Answered : AttemptOutcome::Shed);
         if (status == 421)
@@ -931,13 +944,13 @@
         return NextStep::Finish;
     }
     this->dependencies.fleet.endAttempt(server, AttemptOutcome::Answered);
-    if (isIdempotent && server.region != this->dependencies.settings.region)
+    if (isIdempotent && server.region != this->dependencies.settings.region && server.capacity.speed >= 1)
         this->dependencies.serverConnections.keepPreconnected(
             server.record.address, this->dependencies.clock.now() + preconnectDuration);
     this->forwardResponse(state, std::move(response), "done");
     const auto roundTrip = this->roundTripsMs.find(server.region);
     const double networkMs = call.connectDurationMs + (roundTrip == this->roundTripsMs.end() ? 0 : roundTrip->second);
-    this->recordProcessingTime(state, server, choice, std::max(1.0, durationMs - networkMs), machineFactor);
+    this->recordProcessingTime(state, server, choice, std::max(1.0, durationMs - networkMs), reported);
     return NextStep::Finish;
 }
 
