explain: tells where a request would go now, and why, without sending it

Cause: operators can see from the logs what happened to a request, but not which servers were considered and why one was left out.

RequestExplanation calls the functions that decide, on constant objects: TrafficSplit (taken out of RequestForwarder), RefusalDelays (the same), limitHomeRegions(), UsageLimiter::remainderOf(), CrashQuarantine::preview(), OverloadAdmission::isBeyondWorkspaceShare() and rankServers(). RecentRequests keeps the requests of the last minute, at most 4,096 and 2 MB, without header fields and query. The lookup and readiness addresses do not serve the paths.

Ruled out: naming an unknown workspace in the answer, since it may be an API key by mistake; recomputing region shares for a question.

Measured: edge-tests RequestExplanation (10,000 questions change none of 200 decisions and name the server of the next one), CrashQuarantine, Usage, Overload, Placement, ShiftLimiter, ServerNotices, BackendFleet, Routing and Workspace pass. Not run yet: platform-tests.

--- a/src/command/src/Subcommand.h
+++ b/src/command/src/Subcommand.h
@@ -18,6 +18,7 @@
 ExitCode runCheck(int argumentCount, char** arguments);
 ExitCode runLookup(int argumentCount, char** arguments);
 ExitCode runStatus(int argumentCount, char** arguments);
+ExitCode runExplain(int argumentCount, char** arguments);
 ExitCode runTimeline(int argumentCount, char** arguments);
 ExitCode runGet(int argumentCount, char** arguments);
 ExitCode runApply(int argumentCount, char** arguments);
--- a/src/command/src/main.cpp
+++ b/src/command/src/main.cpp
@@ -13,6 +13,7 @@
     { "check", "validate tables and settings files", &runCheck },
     { "lookup", "ask which entry instances to use", &runLookup },
     { "status", "show the state of an instance", &runStatus },
+    { "explain", "tell where an instance would send a request, and why", &runExplain },
     { "timeline", "merge the events of all instances", &runTimeline },
     { "get", "write the tables of the store into a folder", &runGet },
     { "apply", "send the edited tables of a folder to the store", &runApply },
--- a/src/command/src/runQueries.cpp
+++ b/src/command/src/runQueries.cpp
@@ -1,5 +1,6 @@
 #include "CommandOptions.h"
 #include "InstanceClient.h"
+#include "InternalClient.h"
 #include "Subcommand.h"
 
 #include <json/writer.h>
@@ -59,10 +60,19 @@
 {
     cxxopts::Options options("wagtailrack status", "Shows the state of one instance and the members that it knows.");
     addInstanceOption(options);
+    options.add_options()("internal",
+        "internal address of an instance of wagtailrack edge: lists its servers with their estimates",
+        cxxopts::value<std::string>())("json", "with --internal: print JSON");
     const ParsedOptions parsed = parseOptions(options, argumentCount, arguments);
     if (!parsed.options)
         return parsed.exitCode;
-    return printFirstAnswer(*parsed.options, "/.wagtailrack/status");
+    if (parsed.options->count("internal") == 0)
+        return printFirstAnswer(*parsed.options, "/.wagtailrack/status");
+    if (parsed.options->count("instance") > 0) {
+        std::cerr << "wagtailrack: give either --instance or --internal\n";
+        return ExitCode::Usage;
+    }
+    return printServers((*parsed.options)["internal"].as<std::string>(), parsed.options->count("json") > 0);
 }
 
 }
--- a/src/edge/include/wagtailrack/edge/BackendFleet.h
+++ b/src/edge/include/wagtailrack/edge/BackendFleet.h
@@ -139,6 +139,10 @@
 
     // All servers of the service, including those that are not usable.
     const std::vector<BackendServerPointer>& servers(const std::string& service) const;
+    const std::map<std::string, std::vector<BackendServerPointer>>& serversByService() const noexcept
+    {
+        return this->byService;
+    }
     // Null if there is no server with this key.
     const BackendServer* findByKey(ServerKey key) const;
     bool isUsable(const BackendServer& server) const;
--- a/src/edge/include/wagtailrack/edge/CrashQuarantine.h
+++ b/src/edge/include/wagtailrack/edge/CrashQuarantine.h
@@ -93,6 +93,8 @@
     // Decides on a copy of the request that would be sent now. The copy of a suspect that may be sent is its next
     // trial.
     SendDecision decide(RequestFingerprint request);
+    // Returns what decide() would return, without counting a copy of the request.
+    SendDecision preview(RequestFingerprint request) const;
     // Remaining time of a quarantine if the request does not come again; zero without a quarantine.
     Milliseconds remainingTime(RequestFingerprint request) const;
 
--- a/src/edge/include/wagtailrack/edge/EdgeNode.h
+++ b/src/edge/include/wagtailrack/edge/EdgeNode.h
@@ -54,7 +54,8 @@
 private:
     class LocalHandler;
 
-    HttpResponse handleLocalRequest(const HttpRequest& request);
+    // `isInternal`: the request came to the internal address, which callers cannot reach.
+    HttpResponse handleLocalRequest(const HttpRequest& request, bool isInternal);
     HttpResponse handleLookup(const std::string& query);
     // The requests that crash servers, as JSON; and the end of a quarantine by an operator.
     HttpResponse listQuarantine() const;
@@ -112,6 +113,7 @@
     ClusterStateCache clusterState;
     RequestForwarder forwarder;
     std::unique_ptr<LocalHandler> localHandler;
+    std::unique_ptr<LocalHandler> internalHandler;
     CallerListener callerListener;
     CallerListener lookupListener;
     CallerListener readinessListener;
--- a/src/edge/include/wagtailrack/edge/EdgeSettings.h
+++ b/src/edge/include/wagtailrack/edge/EdgeSettings.h
@@ -36,6 +36,12 @@
     double usageOverage = 0.1;
     double usageSlack = 20;
 
+    // Whether keys of a configuration of this age are still good; otherwise one may have been withdrawn since.
+    bool isKeyConfirmed(int64_t configurationAgeMs) const noexcept
+    {
+        return !this->isKeyConfirmationRequired || configurationAgeMs <= this->keyWithdrawalMs;
+    }
+
     friend bool operator==(const FleetBounds&, const FleetBounds&) = default;
 };
 
--- a/src/edge/include/wagtailrack/edge/OverloadAdmission.h
+++ b/src/edge/include/wagtailrack/edge/OverloadAdmission.h
@@ -62,6 +62,8 @@
 
     // Counts a request of a caller. Returns whether it is beyond the usual share of its workspace.
     bool recordArrival(const AdmissionRequest& request);
+    // Returns what recordArrival() would return, without counting the request.
+    bool isBeyondWorkspaceShare(const AdmissionRequest& request) const;
     // Counts that the request is sent to a server, once for each arrival.
     void recordSend(const AdmissionRequest& request);
     AdmissionDecision decide(
@@ -98,6 +100,7 @@
     static bool isRecent(const Counts& counts, uint64_t arrival) noexcept;
     static bool isUnderserved(const Counts& counts, const Counts& all) noexcept;
     static bool isAnyKindUnderserved(const ServiceState& state, const AdmissionRequest& request);
+    static double creditAt(const WorkspaceState& workspace, uint64_t arrival);
     static bool takeCredit(WorkspaceState& workspace, uint64_t arrival);
     static void removeStaleKinds(ServiceState& state);
 
--- a/src/edge/include/wagtailrack/edge/Placement.h
+++ b/src/edge/include/wagtailrack/edge/Placement.h
@@ -170,6 +170,12 @@
 // hub or to the server's own load reports.
 double estimateLoad(const BackendServer& server, SteadyTime now);
 
+// Returns whether the server has handled the object recently enough to have it in its cache.
+bool isObjectProbablyCached(const BackendServer& server, uint64_t objectHash, SteadyTime now);
+
+// Estimated time on the network to the server and back; twice that if a connection has to be opened.
+double estimateNetworkMs(const RankingRequest& request, const BackendServer& server);
+
 // Returns the time at which the first of the servers that could be chosen ends the pause that it asked for; nothing if
 // none pauses.
 std::optional<SteadyTime> earliestPauseEnd(
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -12,8 +12,12 @@
 #include <wagtailrack/edge/InstanceMembership.h>
 #include <wagtailrack/edge/OverloadAdmission.h>
 #include <wagtailrack/edge/Placement.h>
+#include <wagtailrack/edge/RecentRequests.h>
+#include <wagtailrack/edge/RefusalDelays.h>
+#include <wagtailrack/edge/RequestExplanation.h>
 #include <wagtailrack/edge/RetryTokenBucket.h>
 #include <wagtailrack/edge/ServerNotices.h>
+#include <wagtailrack/edge/TrafficSplit.h>
 #include <wagtailrack/edge/UsageLimiter.h>
 
 #include <wagtailrack/process/Metrics.h>
@@ -63,6 +67,8 @@
         this->isDraining = true;
         this->acceptUntil = acceptUntil;
     }
+    // What explainRequest() reads; valid as long as this object.
+    ExplanationSources explanationSources() const;
     int64_t inFlightRequestCount() const noexcept { return this->inFlightRequests; }
 
 private:
@@ -148,6 +154,7 @@
     void finishAfterFailure(ForwardingState& state, const char* reason, double retryAfterSeconds);
     NextStep retryOrFinish(ForwardingState& state);
     bool prepareRequest(ForwardingState& state);
+    void keepForExplanation(const ForwardingState& state);
     // Counts the request for the usage limit of its workspace. Responds to the caller and returns false if it is
     // refused.
     bool admitUsage(ForwardingState& state);
@@ -191,7 +198,6 @@
     void countResponse(unsigned status, const char* origin);
     // Age of the copy of the configuration; -1 while no configuration is known.
     int64_t configurationAgeMs() const;
-    std::string chooseService(const RouteRule& rule);
     ProcessingTimeEstimate& processingTimeOf(const RouteRule& rule);
     void updateInstanceCounts();
     double remainingMs(const ForwardingState& state) const;
@@ -200,6 +206,7 @@
     double retrySlackPerInstance() const;
 
     ForwarderDependencies dependencies;
+    RecentRequests recentRequests;
     // After a restart of a running system.
     SteadyTime warmCachesAssumedUntil;
     std::map<std::string, RetryTokenBucket> retryTokenBuckets;
@@ -212,8 +219,7 @@
     SteadyTime nextInstanceUpdateAt;
     // Round-trip times to other regions, estimated from the time to connect to their servers.
     std::map<std::string, double> roundTripsMs;
-    // Number of requests that each service is behind its weight in the traffic split, by route and service.
-    std::map<std::string, std::map<std::string, double>> trafficSplitDeficits;
+    TrafficSplit trafficSplit;
     int64_t inFlightRequests = 0;
     bool isDraining = false;
     SteadyTime acceptUntil;
--- a/src/edge/include/wagtailrack/edge/RoutingTable.h
+++ b/src/edge/include/wagtailrack/edge/RoutingTable.h
@@ -50,6 +50,9 @@
     friend bool operator==(const RouteRule&, const RouteRule&) = default;
 };
 
+// Limits the home regions of the rule to those of the workspace. Returns false if they have none in common.
+bool limitHomeRegions(RouteRule& rule, const Workspace& workspace);
+
 struct ServiceSettings {
     std::string name;
     // Connections that one server accepts from all clients together; 0 if not limited.
@@ -90,6 +93,10 @@
     // longest prefix of the host, whatever the number of routes.
     const RouteRule* findRoute(std::string_view host, std::string_view path) const noexcept;
 
+    // As findRoute(), for the Host field of a request: names of hosts are compared regardless of case (RFC 9110,
+    // 4.2.3), and the table has them in lower case.
+    const RouteRule* findRouteOfHost(std::string host, std::string_view target) const;
+
     // Null if the service is not in the table.
     const ServiceSettings* findService(std::string_view name) const noexcept;
 
--- a/src/edge/include/wagtailrack/edge/UsageLimiter.h
+++ b/src/edge/include/wagtailrack/edge/UsageLimiter.h
@@ -60,6 +60,15 @@
     // given out again.
     void refund(std::string_view workspaceName, SteadyTime refundableUntil);
 
+    // What is left of the usage limit of a workspace at this instance, and what admit() would decide now.
+    struct Remainder {
+        size_t tokens = 0;
+        size_t waiting = 0;
+        UsageDecision decision;
+    };
+    // Changes nothing.
+    Remainder remainderOf(const Workspace& workspace) const;
+
     // Called when a request begins to wait.
     void setDemandHook(std::function<void()> hook) { this->demandHook = std::move(hook); }
 
@@ -90,8 +99,11 @@
 
     void removeOutdated(WorkspaceState& state) const;
     static size_t tokenCount(const WorkspaceState& state) noexcept;
+    // The decision on a further request, from a state without outdated entries.
+    UsageDecision nextDecision(const WorkspaceState& state) const;
     static UsageDecision takeToken(WorkspaceState& state);
     size_t maximumWaiting(const WorkspaceState& state) const;
+    UsageDecision refusal(const WorkspaceState& state) const;
     UsageDecision refuse(WorkspaceState& state) const;
 
     const Clock& clock;
--- a/src/edge/src/CrashQuarantine.cpp
+++ b/src/edge/src/CrashQuarantine.cpp
@@ -54,23 +54,30 @@
 {
     if (this->suspects.empty())
         return SendDecision::Send;
+    const SendDecision decision = this->preview(request);
     const auto found = this->suspects.find(request);
     if (found == this->suspects.end())
-        return SendDecision::Send;
+        return decision;
     Suspect& suspect = found->second;
+    if (decision == SendDecision::Refuse)
+        suspect.lastRequestAt = this->clock.now();
+    else if (decision == SendDecision::Send && !suspect.isQuarantined())
+        suspect.nextTrialAt = this->clock.now() + trialInterval;
+    return decision;
+}
+
+SendDecision CrashQuarantine::preview(RequestFingerprint request) const
+{
+    const auto found = this->suspects.find(request);
+    if (found == this->suspects.end())
+        return SendDecision::Send;
+    const Suspect& suspect = found->second;
     const SteadyTime now = this->clock.now();
-    if (suspect.isQuarantined()) {
-        if (now >= suspect.lastRequestAt + retentionTime)
-            return SendDecision::Send;
-        suspect.lastRequestAt = now;
-        return SendDecision::Refuse;
-    }
+    if (suspect.isQuarantined())
+        return now >= suspect.lastRequestAt + retentionTime ? SendDecision::Send : SendDecision::Refuse;
     if (suspect.crashes.size() > 1 && now < suspect.decidableAt)
         return SendDecision::Wait;
-    if (now < suspect.nextTrialAt)
-        return SendDecision::Wait;
-    suspect.nextTrialAt = now + trialInterval;
-    return SendDecision::Send;
+    return now < suspect.nextTrialAt ? SendDecision::Wait : SendDecision::Send;
 }
 
 Milliseconds CrashQuarantine::remainingTime(RequestFingerprint request) const
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -117,14 +117,15 @@
 // Answers readiness checks of the platform, lookups of callers, and requests of peers for state and metrics.
 class EdgeNode::LocalHandler final : public RequestHandler {
 public:
-    explicit LocalHandler(EdgeNode& node)
+    LocalHandler(EdgeNode& node, bool isInternal)
         : node(node)
+        , isInternal(isInternal)
     {
     }
 
     asio::awaitable<void> handle(ExchangePointer exchange) override
     {
-        exchange->response = this->node.handleLocalRequest(exchange->request);
+        exchange->response = this->node.handleLocalRequest(exchange->request, this->isInternal);
         co_return;
     }
 
@@ -134,6 +135,7 @@
 
 private:
     EdgeNode& node;
+    const bool isInternal;
 };
 
 EdgeNode::EdgeNode(asio::io_context& context, EdgeSettings settings, SettingsReader readSettings,
@@ -165,11 +167,12 @@
     , forwarder({ context, this->clock, this->settings, this->headers, this->clusterState, this->fleet,
           this->shiftLimiter, this->regionShares, this->membership, this->serverConnections, this->crashDetector,
           this->crashQuarantine, this->usageLimiter, this->metrics, this->log })
-    , localHandler(std::make_unique<LocalHandler>(*this))
+    , localHandler(std::make_unique<LocalHandler>(*this, false))
+    , internalHandler(std::make_unique<LocalHandler>(*this, true))
     , callerListener(context, this->forwarder, this->requestBudget)
     , lookupListener(context, *this->localHandler, this->localRequestBudget)
     , readinessListener(context, *this->localHandler, this->localRequestBudget)
-    , peerListener(context, *this->localHandler, this->localRequestBudget)
+    , peerListener(context, *this->internalHandler, this->localRequestBudget)
     , datagramSocket(context)
     , signalSet(context)
 {
@@ -395,7 +398,7 @@
     return makeResponse(http::status::ok, "cleared\n");
 }
 
-HttpResponse EdgeNode::handleLocalRequest(const HttpRequest& request)
+HttpResponse EdgeNode::handleLocalRequest(const HttpRequest& request, bool isInternal)
 {
     const std::string target(request.target());
     const size_t queryMark = std::min(target.find('?'), target.size());
@@ -443,6 +446,10 @@
     }
     if (path == "/metrics")
         return makeResponse(http::status::ok, this->renderMetrics());
+    if (isInternal && path == "/explain")
+        return explainRequest(this->forwarder.explanationSources(), query);
+    if (isInternal && path == "/servers")
+        return listServers(this->forwarder.explanationSources());
     if (path == "/quarantine")
         return this->listQuarantine();
     return makeResponse(http::status::not_found, "unknown path\n");
--- a/src/edge/src/OverloadAdmission.cpp
+++ b/src/edge/src/OverloadAdmission.cpp
@@ -111,14 +111,19 @@
     return workspace != state.byWorkspace.end() && isUnderserved(workspace->second.counts, state.all);
 }
 
-bool OverloadAdmission::takeCredit(WorkspaceState& workspace, uint64_t arrival)
+double OverloadAdmission::creditAt(const WorkspaceState& workspace, uint64_t arrival)
 {
     const uint64_t elapsed = arrival - workspace.counts.at;
     // Decaying number of all requests; after a start, the workspace's number is small because all numbers are.
     const double allRequests = usualShareDecayRequests * (1 - decayFactor(arrival, usualShareDecayRequests));
     const double usualShare = workspace.usualRequests / std::max(allRequests, 1.0);
-    workspace.credit
-        = std::min(workspace.credit + shareTolerance * usualShare * static_cast<double>(elapsed), maximumCredit);
+    return std::min(workspace.credit + shareTolerance * usualShare * static_cast<double>(elapsed), maximumCredit);
+}
+
+bool OverloadAdmission::takeCredit(WorkspaceState& workspace, uint64_t arrival)
+{
+    const uint64_t elapsed = arrival - workspace.counts.at;
+    workspace.credit = creditAt(workspace, arrival);
     const bool hasCredit = workspace.credit >= 1;
     workspace.credit -= hasCredit ? 1 : 0;
     const double weight = hasCredit || arrival <= shareLearningRequests ? 1 : beyondShareWeight;
@@ -159,6 +164,17 @@
     return !hasCredit && arrival > shareLearningRequests;
 }
 
+bool OverloadAdmission::isBeyondWorkspaceShare(const AdmissionRequest& request) const
+{
+    const auto service = this->services.find(request.service);
+    if (service == this->services.end() || request.workspace.empty())
+        return false;
+    const uint64_t arrival = service->second.arrivals + 1;
+    const auto workspace = service->second.byWorkspace.find(request.workspace);
+    return workspace != service->second.byWorkspace.end() && creditAt(workspace->second, arrival) < 1
+        && arrival > shareLearningRequests;
+}
+
 void OverloadAdmission::recordSend(const AdmissionRequest& request)
 {
     const auto service = this->services.find(request.service);
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -384,6 +384,16 @@
     return queueWaitMs(estimateLoad(server, now), server, processingTime);
 }
 
+bool isObjectProbablyCached(const BackendServer& server, uint64_t objectHash, SteadyTime now)
+{
+    return hasRecentlyHandled(server, objectHash, now);
+}
+
+double estimateNetworkMs(const RankingRequest& request, const BackendServer& server)
+{
+    return networkDelayMs(request, server);
+}
+
 ProcessingTimeEstimate initialProcessingTime(const RouteRule& rule)
 {
     const auto targetMs = static_cast<double>(rule.targetLatencyMs);
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -36,13 +36,6 @@
 constexpr double processingTimeStep = 0.08;
 // Ratio of the retry slack that the known instances divide; the rest covers instances that are not known yet.
 constexpr double usedSlackRatio = 0.8;
-// Retry-After of rejected requests: the ratio applies to the remaining time of the request. Callers return after a
-// fraction of the time in which a slot becomes free.
-constexpr double minimumRetryAfterSeconds = 0.05;
-constexpr double retryAfterRatio = 0.25;
-// Retry-After of requests that are refused because of load, as a fraction of the target latency: short enough that a
-// response after the caller's return can be in time.
-constexpr double overloadRetryAfterTargetRatio = 0.25;
 // Interval at which changes of the membership are read.
 constexpr Milliseconds instanceUpdateInterval(250);
 // A request with less than this fraction of the time that callers of its route usually wait was rejected or failed
@@ -55,8 +48,6 @@
 constexpr Milliseconds waitCheckInterval(10);
 // Longest wait for another copy of a request that is suspected of crashing servers.
 constexpr Milliseconds maximumSuspectWait(1000);
-// Retry-After while no version of the configuration is known yet, or while a newer one is on its way.
-constexpr double unconfiguredRetryAfterSeconds = 0.4;
 // Longest part of a host and of a path that a line of the log repeats: both are up to the caller, and the host's is the
 // longest name of the DNS.
 constexpr size_t maximumLoggedHostBytes = 253;
@@ -73,19 +64,11 @@
     return std::chrono::duration<double, std::milli>(to - from).count();
 }
 
-char toLowerCase(char character)
-{
-    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
-}
-
 // Returns null if no route matches.
 const RouteRule* findRule(const RoutingTable& table, const HttpRequest& request)
 {
     const auto target = request.target();
-    // The names of hosts are compared regardless of case (RFC 9110, 4.2.3); the table has them in lower case.
-    std::string host = headerValue(request.base(), "Host");
-    std::transform(host.begin(), host.end(), host.begin(), toLowerCase);
-    return table.findRoute(host, std::string_view(target.data(), target.size()));
+    return table.findRouteOfHost(headerValue(request.base(), "Host"), std::string_view(target.data(), target.size()));
 }
 
 // The host of a request and the first segment of its path, which tell the missing route of a request with 404.
@@ -126,6 +109,7 @@
 
 RequestForwarder::RequestForwarder(const ForwarderDependencies& services)
     : dependencies(services)
+    , recentRequests(services.clock)
     , warmCachesAssumedUntil(services.settings.isFirstStart ? SteadyTime() : services.clock.now() + warmCacheDuration)
 {
 }
@@ -197,39 +181,9 @@
     return timeoutMs < returningTimeoutRatio * fullTimeoutMs;
 }
 
-std::string RequestForwarder::chooseService(const RouteRule& rule)
-{
-    if (rule.weightedServices.size() == 1)
-        return rule.weightedServices.front().service;
-    // Chooses the service that is furthest behind its weight, so that any sequence of requests is divided according to
-    // the weights.
-    double total = 0;
-    for (const WeightedService& share : rule.weightedServices)
-        total += share.weight;
-    auto& deficits = this->trafficSplitDeficits[rule.name];
-    std::erase_if(deficits, [&rule](const auto& deficit) {
-        return std::none_of(rule.weightedServices.begin(), rule.weightedServices.end(),
-            [&deficit](const WeightedService& share) { return share.service == deficit.first; });
-    });
-    const WeightedService* chosen = nullptr;
-    for (const WeightedService& share : rule.weightedServices) {
-        if (share.weight <= 0)
-            continue;
-        double& deficit = deficits[share.service];
-        deficit += share.weight / total;
-        if (!chosen || deficit > deficits[chosen->service])
-            chosen = &share;
-    }
-    if (!chosen)
-        return rule.weightedServices.front().service;
-    deficits[chosen->service] -= 1;
-    return chosen->service;
-}
-
 void RequestForwarder::reject(ForwardingState& state, const char* reason, double retryAfterSeconds)
 {
-    const double thirdOfRemainingSeconds = std::max(0.0, this->remainingMs(state)) / 3000;
-    this->rejectFor(state, reason, std::min(retryAfterSeconds, thirdOfRemainingSeconds));
+    this->rejectFor(state, reason, limitedRetryAfter(retryAfterSeconds, this->remainingMs(state)));
 }
 
 void RequestForwarder::rejectFor(ForwardingState& state, const char* reason, double seconds)
@@ -288,26 +242,14 @@
         this->refuseKey(state, key.empty() ? problem : KeyProblem::Unknown);
         return false;
     }
-    const FleetBounds& bounds = this->dependencies.settings.bounds;
     // The key may have been withdrawn by a version that has not arrived.
-    if (bounds.isKeyConfirmationRequired && this->configurationAgeMs() > bounds.keyWithdrawalMs) {
+    if (!this->dependencies.settings.bounds.isKeyConfirmed(this->configurationAgeMs())) {
         this->reject(state, keysUnconfirmedOutcome, unconfiguredRetryAfterSeconds);
         return false;
     }
     state.workspaceName = workspace->name;
     state.priority = workspace->priority.value_or(state.rule.priority);
-    if (workspace->homeRegions.empty())
-        return true;
-    std::vector<std::string>& regions = state.rule.homeRegions;
-    if (regions.empty()) {
-        regions = workspace->homeRegions;
-        return true;
-    }
-    std::erase_if(regions, [workspace](const std::string& region) {
-        return std::find(workspace->homeRegions.begin(), workspace->homeRegions.end(), region)
-            == workspace->homeRegions.end();
-    });
-    if (!regions.empty())
+    if (limitHomeRegions(state.rule, *workspace))
         return true;
     this->reject(state, "no-common-home", unconfiguredRetryAfterSeconds);
     return false;
@@ -387,7 +329,7 @@
     const auto target = request.target();
     state.fingerprint = fingerprintOf(headerValue(request.base(), "Host"), { method.data(), method.size() },
         { target.data(), target.size() }, request.body());
-    state.deadline = state.exchange->arrivedAt + Milliseconds(1000);
+    state.deadline = state.exchange->arrivedAt + unroutedRequestTime;
     if (this->isDraining && state.exchange->arrivedAt >= this->acceptUntil) {
         this->reject(state, "stopping", 0);
         return false;
@@ -406,7 +348,7 @@
         callerTimeoutMs = rule.timeoutMs;
     state.isReturning = this->isReturningCaller(rule, callerTimeoutMs);
     state.deadline = state.exchange->arrivedAt + Milliseconds(std::min(callerTimeoutMs, rule.timeoutMs));
-    state.serviceName = this->chooseService(rule);
+    state.serviceName = this->trafficSplit.choose(rule);
     this->updateInstanceCounts();
     const FleetBounds& bounds = this->dependencies.settings.bounds;
     this->retryTokenBuckets[state.serviceName].recordRequest(bounds.retryRatio, this->retrySlackPerInstance());
@@ -414,6 +356,27 @@
     return true;
 }
 
+void RequestForwarder::keepForExplanation(const ForwardingState& state)
+{
+    const HttpRequest& request = state.exchange->request;
+    this->recentRequests.add(
+        { state.requestId, state.rule.name, state.affinityKey, state.workspaceName, headerValue(request.base(), "Host"),
+            std::string(request.method_string()), std::string(request.target()), state.fingerprint });
+}
+
+ExplanationSources RequestForwarder::explanationSources() const
+{
+    const ForwarderDependencies& used = this->dependencies;
+    return { used.clock, used.settings, used.clusterState.routingTable(), this->configurationAgeMs(),
+        used.clusterState.isConfigurationOutdated(), this->isDraining, used.fleet, used.shiftLimiter, used.regionShares,
+        used.crashQuarantine, used.usageLimiter, this->overloadAdmission, this->trafficSplit,
+        this->processingTimeByRoute, this->roundTripsMs, this->coldServerSenders, this->isPreferredServerWarm(),
+        [this](const BackendServer& server) {
+            return this->dependencies.serverConnections.hasIdleConnection(server.record.address);
+        },
+        this->recentRequests };
+}
+
 asio::awaitable<void> RequestForwarder::handle(ExchangePointer exchange)
 {
     // Counts the request until it ends, also by an exception: a planned stop waits for all requests.
@@ -429,7 +392,9 @@
     const InFlightCount inFlight(this->inFlightRequests);
     ForwardingState state;
     state.exchange = exchange;
-    if (this->prepareRequest(state) && co_await this->awaitUsageDecision(state)) {
+    const bool isPrepared = this->prepareRequest(state);
+    this->keepForExplanation(state);
+    if (isPrepared && co_await this->awaitUsageDecision(state)) {
         co_await this->forwardRequest(state);
         this->refundUsage(state);
     }
@@ -496,10 +461,7 @@
     const char* reason = toString(state.admission.outcome);
     this->dependencies.metrics.count(
         "wagtailrack_not_admitted_total", labels + ",reason=\"" + std::string(reason) + "\"");
-    const double targetSeconds = static_cast<double>(state.rule.targetLatencyMs) / 1000;
-    const double remainingSeconds = this->remainingMs(state) / 1000;
-    this->finishAfterFailure(
-        state, reason, std::min(overloadRetryAfterTargetRatio * targetSeconds, retryAfterRatio * remainingSeconds));
+    this->finishAfterFailure(state, reason, overloadRetryAfter(state.rule.targetLatencyMs, this->remainingMs(state)));
     return false;
 }
 
@@ -532,7 +494,7 @@
                 = std::any_of(state.rule.weightedServices.begin(), state.rule.weightedServices.end(),
                     [&state](const WeightedService& share) { return share.service == state.serviceName; });
             if (!isStillAllowed)
-                state.serviceName = this->chooseService(state.rule);
+                state.serviceName = this->trafficSplit.choose(state.rule);
         }
         const ServiceSettings* service = state.routingTable->findService(state.serviceName);
         const ServiceSettings unknown { state.serviceName, 0, 0, 1 };
@@ -758,7 +720,7 @@
 
 void RequestForwarder::finishAfterFailure(ForwardingState& state, const char* reason)
 {
-    this->finishAfterFailure(state, reason, retryAfterRatio * this->remainingMs(state) / 1000);
+    this->finishAfterFailure(state, reason, failureRetryAfter(this->remainingMs(state)));
 }
 
 void RequestForwarder::finishAfterFailure(ForwardingState& state, const char* reason, double retryAfterSeconds)
@@ -768,7 +730,7 @@
     else if (state.isPossiblyExecuted)
         this->respondWithError(state, http::status::bad_gateway, "outcome-unknown");
     else
-        this->reject(state, reason, std::max(minimumRetryAfterSeconds, retryAfterSeconds));
+        this->reject(state, reason, retryAfterSeconds);
 }
 
 RequestForwarder::NextStep RequestForwarder::retryOrFinish(ForwardingState& state)
@@ -842,10 +804,7 @@
         this->finishAfterFailure(state, "no-server");
         return;
     }
-    // Not shortened to a third of the caller's time as other refusals: a caller that returns before the pause ends is
-    // refused again.
-    const double leftSeconds = std::max(0.0, this->remainingMs(state)) / 1000;
-    this->rejectFor(state, "servers-pause", std::min(millisecondsSince(now, *pauseEnd) / 1000, leftSeconds));
+    this->rejectFor(state, "servers-pause", pauseRetryAfter(now, *pauseEnd, this->remainingMs(state)));
 }
 
 double RequestForwarder::recordServerLoad(BackendServer& server, const HttpResponse& response)
--- a/src/edge/src/RoutingTable.cpp
+++ b/src/edge/src/RoutingTable.cpp
@@ -6,6 +6,31 @@
 
 namespace wagtailrack::edge {
 
+namespace {
+
+char toLowerCase(char character)
+{
+    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
+}
+
+}
+
+bool limitHomeRegions(RouteRule& rule, const Workspace& workspace)
+{
+    if (workspace.homeRegions.empty())
+        return true;
+    std::vector<std::string>& regions = rule.homeRegions;
+    if (regions.empty()) {
+        regions = workspace.homeRegions;
+        return true;
+    }
+    std::erase_if(regions, [&workspace](const std::string& region) {
+        return std::find(workspace.homeRegions.begin(), workspace.homeRegions.end(), region)
+            == workspace.homeRegions.end();
+    });
+    return !regions.empty();
+}
+
 RoutingTable::RoutingTable(
     uint64_t version, CallerLimits limits, RoutesByHost hosts, ServicesByName services, WorkspaceDirectory directory)
     : versionNumber(version)
@@ -45,6 +70,12 @@
     return nullptr;
 }
 
+const RouteRule* RoutingTable::findRouteOfHost(std::string host, std::string_view target) const
+{
+    std::transform(host.begin(), host.end(), host.begin(), toLowerCase);
+    return this->findRoute(host, target);
+}
+
 const ServiceSettings* RoutingTable::findService(std::string_view name) const noexcept
 {
     const auto found = this->servicesByName.find(name);
--- a/src/edge/src/UsageLimiter.cpp
+++ b/src/edge/src/UsageLimiter.cpp
@@ -92,7 +92,7 @@
     return std::clamp<size_t>(static_cast<size_t>(expected), 1, maximumWaitingUndenied);
 }
 
-UsageDecision UsageLimiter::refuse(WorkspaceState& state) const
+UsageDecision UsageLimiter::refusal(const WorkspaceState& state) const
 {
     const SteadyTime now = this->clock.now();
     const double grantedPerSecond = std::max(state.granted.perSecond(now), 1 / maximumRetrySeconds);
@@ -101,10 +101,47 @@
     UsageDecision decision;
     decision.retryAt = now + std::chrono::duration_cast<SteadyTime::duration>(std::chrono::duration<double>(wait));
     decision.isFirstRefusal = now - state.refusedAt > refusalReportInterval;
-    state.refusedAt = now;
     return decision;
 }
 
+UsageDecision UsageLimiter::refuse(WorkspaceState& state) const
+{
+    const UsageDecision decision = this->refusal(state);
+    state.refusedAt = this->clock.now();
+    return decision;
+}
+
+UsageDecision UsageLimiter::nextDecision(const WorkspaceState& state) const
+{
+    UsageDecision decision;
+    // Requests that wait are served first.
+    if (tokenCount(state) > state.waiting.size()) {
+        decision.isAllowed = true;
+        decision.refundableUntil = state.tokens.front().validUntil;
+        return decision;
+    }
+    if (state.waiting.size() >= this->maximumWaiting(state))
+        return this->refusal(state);
+    decision.isPending = true;
+    decision.waitsUntil = this->clock.now() + maximumWait;
+    return decision;
+}
+
+UsageLimiter::Remainder UsageLimiter::remainderOf(const Workspace& workspace) const
+{
+    Remainder remainder;
+    remainder.decision.isAllowed = workspace.requestsPerSecond <= 0;
+    if (remainder.decision.isAllowed)
+        return remainder;
+    const auto known = this->states.find(workspaceKey(workspace.name));
+    WorkspaceState state = known == this->states.end() ? WorkspaceState() : known->second;
+    this->removeOutdated(state);
+    remainder.tokens = tokenCount(state);
+    remainder.waiting = state.waiting.size();
+    remainder.decision = this->nextDecision(state);
+    return remainder;
+}
+
 UsageDecision UsageLimiter::admit(const Workspace& workspace)
 {
     UsageDecision decision;
@@ -116,16 +153,15 @@
     this->removeOutdated(state);
     state.demand.add(1, now);
     state.lastRequestAt = now;
-    // Requests that wait are served first.
-    if (tokenCount(state) > state.waiting.size())
+    decision = this->nextDecision(state);
+    if (decision.isAllowed)
         return takeToken(state);
-    if (state.waiting.size() >= this->maximumWaiting(state))
+    if (!decision.isPending)
         return this->refuse(state);
-    const SteadyTime waitsUntil = now + maximumWait;
-    state.waiting.push_back(waitsUntil);
+    state.waiting.push_back(decision.waitsUntil);
     // An instance that is its own hub has the token at once.
     this->demandHook();
-    return this->continueWaiting(workspace, waitsUntil);
+    return this->continueWaiting(workspace, decision.waitsUntil);
 }
 
 UsageDecision UsageLimiter::continueWaiting(const Workspace& workspace, SteadyTime waitsUntil)
