--- a/src/command/src/InternalClient.cpp
+++ b/src/command/src/InternalClient.cpp
@@ -5,6 +5,8 @@
 #include <wagtailrack/connection/HttpConnection.h>
 #include <wagtailrack/version/parseJson.h>
 
+#include <json/writer.h>
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -18,6 +20,8 @@
 constexpr Milliseconds queryTimeout { 3000 };
 // A list of some thousand servers of 400 bytes each, with room.
 constexpr int64_t maximumAnswerBytes = 16 << 20;
+// As in the instance's response; more would suggest a precision that estimates do not have.
+constexpr int figureDigits = 4;
 
 struct Column {
     const char* title;
@@ -25,7 +29,7 @@
     int width;
 };
 
-constexpr std::array<Column, 14> explanationColumns { {
+constexpr std::array<Column, 15> explanationColumns { {
     { "server", "id", 16 },
     { "reason", "reason", 18 },
     { "score", "score", 8 },
@@ -37,6 +41,7 @@
     { "cached", "cached", 6 },
     { "speed", "speed", 6 },
     { "knee", "knee", 5 },
+    { "failures", "failure_rate", 8 },
     { "cold_ms", "cold_ms", 8 },
     { "pause_ms", "pause_ms", 8 },
     { "region", "region", 8 },
@@ -149,6 +154,14 @@
     return encoded;
 }
 
+std::string encodeJson(const Json::Value& value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "  ";
+    builder["precision"] = figureDigits;
+    return Json::writeString(builder, value) + '\n';
+}
+
 Result<Json::Value> queryInternal(const Endpoint& instance, const std::string& target, const std::string& kind)
 {
     connection::HttpRequest request;
@@ -231,7 +244,7 @@
     const auto answer = queryInternal(instance.value(), "/servers", "servers");
     if (!answer)
         return reportInternalError(answer.error());
-    std::cout << (isJson ? answer.value().toStyledString() : describeServers(answer.value()));
+    std::cout << (isJson ? encodeJson(answer.value()) : describeServers(answer.value()));
     return ExitCode::Success;
 }
 
--- a/src/command/src/InternalClient.h
+++ b/src/command/src/InternalClient.h
@@ -23,6 +23,9 @@
 // Encodes a value of a query.
 std::string percentEncode(std::string_view text);
 
+// JSON with as many digits as the instance sends.
+std::string encodeJson(const Json::Value& value);
+
 // Text for operators of the responses of /explain and /servers.
 std::string describeExplanation(const Json::Value& explanation);
 std::string describeServers(const Json::Value& servers);
--- a/src/command/src/runExplain.cpp
+++ b/src/command/src/runExplain.cpp
@@ -45,7 +45,7 @@
     const auto answer = queryInternal(instance.value(), target, "explain");
     if (!answer)
         return reportInternalError(answer.error());
-    std::cout << (given.count("json") > 0 ? answer.value().toStyledString() : describeExplanation(answer.value()));
+    std::cout << (given.count("json") > 0 ? encodeJson(answer.value()) : describeExplanation(answer.value()));
     if (answer.value()["outcome"] != "no-route")
         return ExitCode::Success;
     std::cerr << "wagtailrack: the configuration in force has no such route\n";
