ServerNotices: notices from the head of any response, and for the whole lifetime

Notices were read when a response had ended, so that those of broken responses were lost and those of streamed ones applied late. A pause was lost when the server's record was missing for some time, and so was a notice whose request had begun before; a record of an earlier process ended the leaving. The notice of a 421 was taken for that of the former server at the address. "said-leaving" counted as evidence of a crash. A response during a pause began preconnections again. Requests that were connecting when the notice arrived were sent. Pausing servers of the own region counted as lost, which lifted the limit of shifts between regions. A pause of one server among others that do not pause decided the Retry-After; a request that had tried all pausing servers was told a third of its time instead of the end of the pause. Ruled out: no crash probe during a pause, since it sends no request and finds requests that crash servers.

--- a/src/edge/include/wagtailrack/edge/BackendFleet.h
+++ b/src/edge/include/wagtailrack/edge/BackendFleet.h
@@ -113,6 +113,9 @@
 // from the hub. Exists for the lifetime of the process; accessed only by the event loop's thread.
 class BackendFleet {
 public:
+    // Reason of a server that becomes unusable because it said so; its process runs on.
+    static constexpr const char* saidLeavingReason = "said-leaving";
+
     // Called once for each server when it becomes unusable.
     using LeavingHook = std::function<void(const BackendServer&, const char* reason)>;
 
@@ -141,12 +144,16 @@
     const std::vector<BackendServerPointer>& servers(const std::string& service) const;
     // Null if there is no server with this key.
     const BackendServer* findByKey(ServerKey key) const;
+    // Returns the server that uses the address and has another id; null if there is none, or more than one.
+    BackendServerPointer findOtherAt(const Endpoint& address, const std::string& id) const;
     bool isUsable(const BackendServer& server) const;
     size_t size() const noexcept { return this->byId.size(); }
 
     // Must be called in pairs around each attempt; `processingMs` is the expected processing time.
     void beginAttempt(BackendServer& server, double processingMs);
     void endAttempt(BackendServer& server, AttemptOutcome outcome);
+    // Ends an attempt that was withdrawn before anything was sent, and so says nothing about the server.
+    void withdrawAttempt(BackendServer& server);
     void recordDuration(BackendServer& server, const DurationSample& sample);
     // Records the server's own report: its running and waiting requests, including those of this instance.
     void recordLoadReport(BackendServer& server, int64_t running, int64_t waiting, int64_t slots);
@@ -155,7 +162,8 @@
     // Records that the server said it is leaving. Unlike markLeaving(), this holds for the rest of the server's
     // lifetime, whatever records appear, disappear or reappear. Returns false if it was recorded before.
     bool recordLeavingNotice(BackendServer& server);
-    // Keeps the server out of use until `until`; of several pauses, the one that ends last applies.
+    // Keeps the server out of use until `until`, also if its record disappears and reappears; of several pauses, the
+    // one that ends last applies.
     void pause(BackendServer& server, SteadyTime until);
 
     // Builds the next report to the hub: the requests in flight on each server, and the results of attempts and the
@@ -177,6 +185,10 @@
     void setCapacity(BackendServer& server, const ServerCapacityTracker::RelativeCapacity& capacity);
     // Derives the speeds of all servers from their duration ratios and the medians of their services.
     void updateSpeeds();
+    // Returns the server of this lifetime that is in use now: another object than before if its record was missing for
+    // some time. Null if there is none.
+    BackendServerPointer findLifetime(const ServerRecord& record) const;
+    bool hasLeavingNotice(const ServerRecord& record) const;
     void recordDeparture(const BackendServer& server, bool isFinal);
     void addDeparture(const DepartedServers::Departure& departure);
     // Returns whether any server was added.
@@ -201,6 +213,8 @@
     ServerCapacityTracker ownCapacities;
     // Server lifetimes that said they are leaving, and when; the oldest are forgotten beyond a fixed number.
     std::map<DepartedServers::Lifetime, SteadyTime> leavingNotices;
+    // Ends of the pauses that server lifetimes asked for; those that are over are removed at the next pause.
+    std::map<DepartedServers::Lifetime, SteadyTime> pauses;
 };
 
 }
--- a/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
+++ b/src/edge/include/wagtailrack/edge/HttpConnectionPool.h
@@ -32,6 +32,8 @@
     TimedOut,
     // Call::cancel() was called.
     Cancelled,
+    // Call::isStillWanted() returned false once a connection was established; nothing was sent.
+    NotSent,
 };
 
 const char* toString(CallOutcome outcome) noexcept;
@@ -97,8 +99,10 @@
     EchoUse echoUse = EchoUse::WithValue;
     // Memory of the body of `request`, kept until that has been sent; may be null.
     ReservationPointer requestMemory;
-    // Called when the head of a response has arrived.
-    std::function<void()> onResponseHead;
+    // Called when the head of a response has arrived, also of a response that is skipped or breaks off later.
+    std::function<void(const HttpResponse& head)> onResponseHead;
+    // If not null, asked when a new connection has been established, before the request is sent on it.
+    std::function<bool()> isStillWanted;
     // If not null, successful responses that it accepts and that are larger than ResponseRelay::firstPartBytes are
     // passed to it, and the body of `response` stays empty. The call ends when the whole response has arrived; the
     // deadline is not moved before the relay begins and does not apply after that.
--- a/src/edge/include/wagtailrack/edge/Placement.h
+++ b/src/edge/include/wagtailrack/edge/Placement.h
@@ -96,8 +96,8 @@
 // hub or to the server's own load reports.
 double estimateLoad(const BackendServer& server, SteadyTime now);
 
-// Returns the time at which the first of the servers that could be chosen ends the pause that it asked for; nothing if
-// none pauses.
+// Returns the time at which the first of the servers that could be chosen ends the pause that it asked for; nothing
+// unless all of them pause.
 std::optional<SteadyTime> earliestPauseEnd(
     const BackendFleet& fleet, const std::string& service, const RouteRule& rule, SteadyTime now);
 
--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -172,10 +172,12 @@
         const ForwardingState& state, const BackendServerPointer& server, const Call& call, SteadyTime sentAt);
     asio::awaitable<void> probeServer(BackendServerPointer server);
     void recordRoundTrip(const BackendServer& server, const Call& call);
-    // Applies what the server tells about itself in the head of a response.
-    void applyServerNotices(BackendServer& server, const http::response_header<>& head);
-    // Rejects a request for which no server may be used, as not executed.
-    void rejectWithoutServer(ForwardingState& state);
+    // Applies what a server tells about itself in the head of a response to a request for the server `addressed`.
+    void applyServerNotices(BackendServer& addressed, const http::response_header<>& head);
+    bool mayReceiveRequests(const BackendServer& server) const;
+    // Ends a request for which no further server may be used. If all servers of the service pause and it has not been
+    // executed, it is rejected until the first pause ends; otherwise as finishAfterFailure() does.
+    void finishWithoutServer(ForwardingState& state, const char* reason);
     // Records the load that the server tells in its response. Returns the machine factor, 1 if the response has none.
     double recordServerLoad(BackendServer& server, const HttpResponse& response);
     // Rejects the request as not executed, with a Retry-After of at most a third of the time that its caller has left.
--- a/src/edge/src/BackendFleet.cpp
+++ b/src/edge/src/BackendFleet.cpp
@@ -32,11 +32,22 @@
 constexpr size_t maximumReportedObjects = 60;
 // How long a server is avoided after the hub reported that other instances cannot reach it.
 constexpr Milliseconds hubReportedAvoidance(1000);
-// Server lifetimes that are remembered as leaving; several times the servers of the largest planned deployment.
-constexpr size_t maximumLeavingNotices = 8192;
+// Server lifetimes that are remembered as leaving, and as pausing; several times the servers of the largest planned
+// deployment.
+constexpr size_t maximumNotices = 8192;
 
 double updatedAverage(double average, double sample, double weight) { return average + weight * (sample - average); }
 
+DepartedServers::Lifetime departureLifetimeOf(const ServerRecord& record) { return { record.id, record.startedAtMs }; }
+
+// Removes the earliest entry if there are too many.
+void limitNotices(std::map<DepartedServers::Lifetime, SteadyTime>& notices)
+{
+    if (notices.size() > maximumNotices)
+        notices.erase(std::min_element(notices.begin(), notices.end(),
+            [](const auto& left, const auto& right) { return left.second < right.second; }));
+}
+
 double slotsOf(const BackendServer& server) noexcept
 {
     return static_cast<double>(std::max<int64_t>(server.record.slots, 1));
@@ -98,12 +109,17 @@
         server->coldTokensRefilledAt = now;
         server->placementHash = hash64(record.id);
         server->key = static_cast<ServerKey>(server->placementHash);
+        const auto paused = this->pauses.find(departureLifetimeOf(record));
+        if (paused != this->pauses.end() && paused->second > now) {
+            server->pausedUntil = paused->second;
+            server->resumeWindow = 1;
+        }
     }
     const auto region = this->regionOfDomain.find(record.failureDomain);
     server->region = region == this->regionOfDomain.end() ? std::string() : region->second;
     this->updateServer(*server, record);
-    if (this->leavingNotices.contains({ record.id, record.startedAtMs }))
-        this->markLeaving(*server, "said-leaving");
+    if (this->hasLeavingNotice(record))
+        this->markLeaving(*server, saidLeavingReason);
 }
 
 void BackendFleet::applyRecords(const std::vector<ServerRecord>& records, SteadyTime missingGraceUntil)
@@ -242,6 +258,26 @@
     return found == this->byKey.end() ? nullptr : found->second.get();
 }
 
+BackendServerPointer BackendFleet::findOtherAt(const Endpoint& address, const std::string& id) const
+{
+    BackendServerPointer other;
+    for (const auto& [otherId, server] : this->byId) {
+        if (otherId == id || server->isLeaving || !(server->record.address == address))
+            continue;
+        if (other)
+            return nullptr;
+        other = server;
+    }
+    return other;
+}
+
+BackendServerPointer BackendFleet::findLifetime(const ServerRecord& record) const
+{
+    const auto found = this->byId.find(record.id);
+    return found == this->byId.end() || found->second->record.startedAtMs != record.startedAtMs ? nullptr
+                                                                                                : found->second;
+}
+
 bool BackendFleet::isUsable(const BackendServer& server) const
 {
     return !server.isLeaving && !this->evacuatedDomains.contains(server.record.failureDomain);
@@ -279,6 +315,8 @@
     server.avoidUntil = now + initialAvoidance * (1 << doublings);
 }
 
+void BackendFleet::withdrawAttempt(BackendServer& server) { --server.inFlight; }
+
 void BackendFleet::recordDuration(BackendServer& server, const DurationSample& sample)
 {
     ++server.unreportedActivity.answeredAttempts;
@@ -427,22 +465,38 @@
         this->leavingHook(server, reason);
 }
 
+bool BackendFleet::hasLeavingNotice(const ServerRecord& record) const
+{
+    // An earlier process of the same id, which an older copy of the store may name, does not return either.
+    const auto found = this->leavingNotices.lower_bound(departureLifetimeOf(record));
+    return found != this->leavingNotices.end() && found->first.id == record.id;
+}
+
 bool BackendFleet::recordLeavingNotice(BackendServer& server)
 {
-    const DepartedServers::Lifetime lifetime { server.record.id, server.record.startedAtMs };
-    if (!this->leavingNotices.try_emplace(lifetime, this->clock.now()).second)
-        return false;
-    if (this->leavingNotices.size() > maximumLeavingNotices)
-        this->leavingNotices.erase(std::min_element(this->leavingNotices.begin(), this->leavingNotices.end(),
-            [](const auto& left, const auto& right) { return left.second < right.second; }));
-    this->markLeaving(server, "said-leaving");
-    return true;
+    const bool isNew = this->leavingNotices.try_emplace(departureLifetimeOf(server.record), this->clock.now()).second;
+    limitNotices(this->leavingNotices);
+    this->markLeaving(server, saidLeavingReason);
+    if (const BackendServerPointer current = this->findLifetime(server.record))
+        this->markLeaving(*current, saidLeavingReason);
+    return isNew;
 }
 
 void BackendFleet::pause(BackendServer& server, SteadyTime until)
 {
-    server.pausedUntil = std::max(server.pausedUntil, until);
-    server.resumeWindow = 1;
+    const SteadyTime now = this->clock.now();
+    std::erase_if(this->pauses, [now](const auto& entry) { return entry.second <= now; });
+    SteadyTime& end = this->pauses[departureLifetimeOf(server.record)];
+    end = std::max(end, until);
+    const SteadyTime latest = end;
+    limitNotices(this->pauses);
+    const BackendServerPointer current = this->findLifetime(server.record);
+    for (BackendServer* paused : { &server, current.get() }) {
+        if (!paused)
+            continue;
+        paused->pausedUntil = latest;
+        paused->resumeWindow = 1;
+    }
 }
 
 bool BackendFleet::tryTakeColdToken(BackendServer& server, double requestsPerSecond, int senderCount)
--- a/src/edge/src/EdgeNode.cpp
+++ b/src/edge/src/EdgeNode.cpp
@@ -244,8 +244,9 @@
 {
     this->fleet.setLeavingHook([this](const BackendServer& server, const char* reason) {
         this->serverConnections.closeIdleConnections(server.record.address);
-        // A draining server runs on.
-        if (server.record.state == version::ServerState::Active)
+        // A server that drains, or said that it leaves, runs on.
+        if (server.record.state == version::ServerState::Active
+            && std::string_view(reason) != BackendFleet::saidLeavingReason)
             this->crashDetector.recordRemoval(server);
         this->log.write(LogCategory::ProcessState, "server-leaving",
             { { "server", server.record.id }, { "service", server.record.service }, { "reason", reason },
--- a/src/edge/src/HttpConnectionPool.cpp
+++ b/src/edge/src/HttpConnectionPool.cpp
@@ -80,6 +80,8 @@
         return "timed-out";
     case CallOutcome::Cancelled:
         return "cancelled";
+    case CallOutcome::NotSent:
+        return "not-sent";
     }
     return "unknown";
 }
@@ -186,7 +188,7 @@
     co_await readHeader(connection->socket, connection->buffer, parser, failure);
     call->hasResponseStarted = call->hasResponseStarted || parser.got_some();
     if (!failure && call->onResponseHead)
-        call->onResponseHead();
+        call->onResponseHead(parser.get());
     size_t unreportedBytes = 0;
     const std::function<void(size_t)> moveDeadline = [&](size_t bytes) {
         unreportedBytes += bytes;
@@ -343,6 +345,10 @@
         const CallOutcome connectOutcome = co_await this->connect(call, server);
         if (connectOutcome != CallOutcome::Answered)
             co_return connectOutcome;
+        if (call->isStillWanted && !call->isStillWanted()) {
+            call->connection->close();
+            co_return CallOutcome::NotSent;
+        }
     }
     const CallOutcome outcome = co_await this->sendAndReceive(call);
     this->releaseConnection(call, server);
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -144,14 +144,20 @@
 }
 
 // Returns the servers that may execute the request, in the object's rendezvous order. Servers that were recently
-// unreachable are left out unless all of them were.
+// unreachable are left out unless all of them were. Adds to `pausingSlots` the slots of the servers of the own region
+// that accept no request because of a pause.
 std::vector<Candidate> findCandidates(const BackendFleet& fleet, const PlacementRequest& request,
-    const std::string& objectRegion, uint64_t objectHash, SteadyTime now)
+    const std::string& objectRegion, uint64_t objectHash, SteadyTime now, double& pausingSlots)
 {
     std::vector<Candidate> candidates;
     for (const BackendServerPointer& server : fleet.servers(request.service.name)) {
-        if (!fleet.isUsable(*server) || request.excludedServers.contains(server.get())
-            || !isHomeRegion(request.rule, server->region) || !isAcceptingRequests(*server, now))
+        if (!fleet.isUsable(*server) || !isHomeRegion(request.rule, server->region))
+            continue;
+        if (!isAcceptingRequests(*server, now)) {
+            pausingSlots += server->region == request.ownRegion ? usableSlots(*server) : 0;
+            continue;
+        }
+        if (request.excludedServers.contains(server.get()))
             continue;
         candidates.push_back(
             { server, combineHashes(objectHash, server->placementHash), estimateLoad(*server, now), false, {} });
@@ -171,12 +177,14 @@
 }
 
 // Removes the servers of other regions than the own and the object's if the shift limiter currently allows no further
-// cross-region requests and the own region has a candidate. The regions of objects change slowly enough by themselves.
-void limitCandidatesToOwnRegion(
-    std::vector<Candidate>& candidates, const PlacementRequest& request, const std::string& objectRegion)
+// cross-region requests and the own region has a candidate or pausing servers. The regions of objects change slowly
+// enough by themselves. Servers that pause are not lost: the limit also applies when all of them pause at once, and
+// what cannot be sent then is refused.
+void limitCandidatesToOwnRegion(std::vector<Candidate>& candidates, const PlacementRequest& request,
+    const std::string& objectRegion, double pausingSlots)
 {
-    double slots = 0;
-    bool hasOwnRegionCandidate = false;
+    double slots = pausingSlots;
+    bool hasOwnRegionCandidate = pausingSlots > 0;
     for (const Candidate& candidate : candidates) {
         if (candidate.server->region != request.ownRegion)
             continue;
@@ -369,8 +377,10 @@
 {
     std::optional<SteadyTime> earliest;
     for (const BackendServerPointer& server : fleet.servers(service)) {
-        if (!fleet.isUsable(*server) || !isHomeRegion(rule, server->region) || server->pausedUntil <= now)
+        if (!fleet.isUsable(*server) || !isHomeRegion(rule, server->region))
             continue;
+        if (server->pausedUntil <= now)
+            return std::nullopt;
         earliest = std::min(earliest.value_or(server->pausedUntil), server->pausedUntil);
     }
     return earliest;
@@ -388,10 +398,13 @@
         return std::nullopt;
     const uint64_t objectHash = objectHashOf(request.rule, request.affinityKey);
     const std::string objectRegion = regionOfObject(fleet, request, objectHash);
-    std::vector<Candidate> candidates = findCandidates(fleet, request, objectRegion, objectHash, now);
+    double pausingSlots = 0;
+    std::vector<Candidate> candidates = findCandidates(fleet, request, objectRegion, objectHash, now, pausingSlots);
+    if (candidates.empty())
+        return std::nullopt;
+    limitCandidatesToOwnRegion(candidates, request, objectRegion, pausingSlots);
     if (candidates.empty())
         return std::nullopt;
-    limitCandidatesToOwnRegion(candidates, request, objectRegion);
     // The preferred server is the first one of the object's region, or else of the own region, or else of all.
     const auto firstInRegion = [&candidates](const std::string& region) {
         return std::find_if(candidates.begin(), candidates.end(),
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -551,7 +551,7 @@
         if (!choice) {
             if (state.sendCount == 0)
                 this->dependencies.shiftLimiter.recordRefusal();
-            this->rejectWithoutServer(state);
+            this->finishWithoutServer(state, "no-server");
             co_return;
         }
         if (!this->admit(state, *choice)) {
@@ -616,6 +616,8 @@
     if (isIdempotent)
         state.exchange->onCallerDisconnected = [call] { call->cancel(); };
     this->prepareRelay(state, call);
+    call->onResponseHead = [this, server](const HttpResponse& head) { this->applyServerNotices(*server, head.base()); };
+    call->isStillWanted = [this, server] { return this->mayReceiveRequests(*server); };
     state.isSendGranted = false;
     const SteadyTime sentAt = this->dependencies.clock.now();
     const Endpoint address = server->record.address;
@@ -633,10 +635,9 @@
         = millisecondsSince(sentAt, isRelayed ? call->relay->begunAt() : this->dependencies.clock.now());
     state.lastAttemptDurationMs = durationMs;
     this->recordRoundTrip(*server, *call);
-    if (isRelayed)
-        this->applyServerNotices(*server, state.exchange->response.base());
-    else if (outcome == CallOutcome::Answered)
-        this->applyServerNotices(*server, call->response.base());
+    // The connection on which the server said that it leaves became idle after that.
+    if (server->isLeaving)
+        this->dependencies.serverConnections.closeIdleConnections(address);
     if (isRelayed && outcome != CallOutcome::Answered) {
         if (outcome != CallOutcome::Cancelled && (call->relay->hasStarted() || outcome == CallOutcome::TooLarge)) {
             this->endBrokenRelay(state, *server, outcome);
@@ -668,6 +669,10 @@
             co_return this->retryOrFinish(state);
         this->reject(state, "servers-unreachable", minimumRetryAfterSeconds);
         co_return NextStep::Finish;
+    case CallOutcome::NotSent:
+        state.isSendGranted = true;
+        this->dependencies.fleet.withdrawAttempt(*server);
+        co_return NextStep::TryAnotherServer;
     case CallOutcome::Cancelled:
         ++state.sendCount;
         this->dependencies.fleet.endAttempt(*server, AttemptOutcome::Answered);
@@ -776,7 +781,7 @@
     const double left = this->remainingMs(state);
     if (left > 0 && state.sendCount < state.rule.maxAttempts)
         return NextStep::TryAnotherServer;
-    this->finishAfterFailure(state, "servers-full");
+    this->finishWithoutServer(state, "servers-full");
     return NextStep::Finish;
 }
 
@@ -810,8 +815,20 @@
         found->second += roundTripSampleWeight * (sample - found->second);
 }
 
-void RequestForwarder::applyServerNotices(BackendServer& server, const http::response_header<>& head)
+bool RequestForwarder::mayReceiveRequests(const BackendServer& server) const
+{
+    return this->dependencies.fleet.isUsable(server) && server.pausedUntil <= this->dependencies.clock.now();
+}
+
+void RequestForwarder::applyServerNotices(BackendServer& addressed, const http::response_header<>& head)
 {
+    // 421 comes from another server, which uses the address now.
+    const bool isMisdirected = head.result() == http::status::misdirected_request;
+    const BackendServerPointer other
+        = isMisdirected ? this->dependencies.fleet.findOtherAt(addressed.record.address, addressed.record.id) : nullptr;
+    if (isMisdirected && !other)
+        return;
+    BackendServer& server = other ? *other : addressed;
     const SteadyTime now = this->dependencies.clock.now();
     const ServerNotices notices = readServerNotices(head, this->dependencies.headers, now);
     if (notices.invalidFields > 0)
@@ -833,19 +850,20 @@
                 { "for_ms", static_cast<int64_t>(millisecondsSince(now, server.pausedUntil)) } });
 }
 
-void RequestForwarder::rejectWithoutServer(ForwardingState& state)
+void RequestForwarder::finishWithoutServer(ForwardingState& state, const char* reason)
 {
     const SteadyTime now = this->dependencies.clock.now();
     const std::optional<SteadyTime> pauseEnd
         = earliestPauseEnd(this->dependencies.fleet, state.serviceName, state.rule, now);
     if (!pauseEnd || state.fallbackResponse || state.isPossiblyExecuted) {
-        this->finishAfterFailure(state, "no-server");
+        this->finishAfterFailure(state, reason);
         return;
     }
     // Not shortened to a third of the caller's time as other refusals: a caller that returns before the pause ends is
-    // refused again.
+    // refused again. Rounded up, because the field has whole milliseconds.
     const double leftSeconds = std::max(0.0, this->remainingMs(state)) / 1000;
-    this->rejectFor(state, "servers-pause", std::min(millisecondsSince(now, *pauseEnd) / 1000, leftSeconds));
+    const double pauseSeconds = std::ceil(millisecondsSince(now, *pauseEnd)) / 1000;
+    this->rejectFor(state, "servers-pause", std::min(pauseSeconds, leftSeconds));
 }
 
 double RequestForwarder::recordServerLoad(BackendServer& server, const HttpResponse& response)
@@ -931,7 +949,7 @@
         return NextStep::Finish;
     }
     this->dependencies.fleet.endAttempt(server, AttemptOutcome::Answered);
-    if (isIdempotent && server.region != this->dependencies.settings.region)
+    if (isIdempotent && server.region != this->dependencies.settings.region && this->mayReceiveRequests(server))
         this->dependencies.serverConnections.keepPreconnected(
             server.record.address, this->dependencies.clock.now() + preconnectDuration);
     this->forwardResponse(state, std::move(response), "done");
--- a/src/edge/tests/ServerNoticesTest.cpp
+++ b/src/edge/tests/ServerNoticesTest.cpp
@@ -39,12 +39,17 @@
     }
 
     std::optional<PlacementChoice> choose(const std::string& key = "17")
+    {
+        ShiftLimiter shiftLimiter(this->clock);
+        return this->choose(key, shiftLimiter);
+    }
+
+    std::optional<PlacementChoice> choose(const std::string& key, ShiftLimiter& shiftLimiter)
     {
         const SteadyTime now = this->clock.now();
         const std::map<std::string, double> roundTripsMs;
         const std::set<const BackendServer*> excludedServers;
         const ColdServerSenders senders { { 1 }, 1, 5 };
-        ShiftLimiter shiftLimiter(this->clock);
         const PlacementRequest request { this->rule, this->service, key, "north", "north-a", roundTripsMs,
             [](const BackendServer&) { return true; }, now, now + Milliseconds(2000), shiftLimiter, senders,
             excludedServers };
@@ -145,3 +150,91 @@
     LONGS_EQUAL(0, paused.resumeWindow);
     CHECK_TRUE(this->choose().has_value());
 }
+
+// Guards against a server that said it leaves getting requests again because the store returns from a copy with the
+// record of an earlier process of the same id.
+TEST(ServerNotices, recordOfAnEarlierProcessDoesNotEndTheLeaving)
+{
+    auto records = simulation::serverRecords(1);
+    records[0].startedAtMs = 7;
+    this->fleet.applyRecords(records, this->clock.now());
+    this->fleet.recordLeavingNotice(this->server(0));
+    records[0].startedAtMs = 6;
+    this->fleet.applyRecords(records, this->clock.now());
+    CHECK_FALSE(this->fleet.isUsable(this->server(0)));
+    records[0].startedAtMs = 8;
+    this->fleet.applyRecords(records, this->clock.now());
+    CHECK_TRUE(this->fleet.isUsable(this->server(0)));
+}
+
+// Guards against notices being lost whose request began before the server's record was missing for some time.
+TEST(ServerNotices, noticeOfARequestFromBeforeTheRecordReturned)
+{
+    const BackendServerPointer before = this->fleet.servers("prices").at(0);
+    this->applyRecords(0);
+    this->applyRecords(2);
+    this->fleet.pause(*before, this->clock.now() + Milliseconds(1000));
+    CHECK_FALSE(isAcceptingRequests(this->server(0), this->clock.now()));
+    CHECK_TRUE(this->fleet.recordLeavingNotice(*before));
+    CHECK_FALSE(this->fleet.isUsable(this->server(0)));
+    CHECK_TRUE(this->fleet.isUsable(this->server(1)));
+}
+
+// Guards against a pause ending early because the server's record is missing for some time.
+TEST(ServerNotices, pauseOutlastsAMissingRecord)
+{
+    this->fleet.pause(this->server(0), this->clock.now() + Milliseconds(1000));
+    this->applyRecords(0);
+    this->applyRecords(2);
+    CHECK_FALSE(isAcceptingRequests(this->server(0), this->clock.now()));
+    this->clock.advance(Milliseconds(1000));
+    CHECK_TRUE(isAcceptingRequests(this->server(0), this->clock.now()));
+    auto records = simulation::serverRecords(1);
+    this->fleet.pause(this->server(0), this->clock.now() + Milliseconds(1000));
+    records[0].startedAtMs = 7;
+    this->fleet.applyRecords(records, this->clock.now());
+    CHECK_TRUE(isAcceptingRequests(this->server(0), this->clock.now()));
+}
+
+// Guards against refusals until the end of one server's long pause while other servers do not pause.
+TEST(ServerNotices, pauseOfOneServerIsNotThatOfItsService)
+{
+    this->fleet.pause(this->server(0), this->clock.now() + Milliseconds(60'000));
+    CHECK_FALSE(earliestPauseEnd(this->fleet, "prices", this->rule, this->clock.now()).has_value());
+    this->fleet.recordLeavingNotice(this->server(1));
+    CHECK_TRUE(earliestPauseEnd(this->fleet, "prices", this->rule, this->clock.now()).has_value());
+}
+
+// Guards against servers that pause at once being taken for lost servers, whose requests may change their region
+// without a limit.
+TEST(ServerNotices, pausesDoNotLiftTheLimitOfShiftsBetweenRegions)
+{
+    constexpr int requestCount = 200;
+    constexpr double maximumShift = 0.15;
+    this->applyRecords(12);
+    ShiftLimiter shiftLimiter(this->clock);
+    const auto countCrossRegion = [&] {
+        int sent = 0;
+        for (int index = 0; index < requestCount; ++index) {
+            this->clock.advance(Milliseconds(5));
+            const auto choice = this->choose(std::to_string(index), shiftLimiter);
+            if (!choice)
+                continue;
+            shiftLimiter.recordSend(choice->server->region != "north");
+            sent += choice->server->region != "north" ? 1 : 0;
+        }
+        return sent;
+    };
+    LONGS_EQUAL(0, countCrossRegion());
+    int paused = 0;
+    for (const BackendServerPointer& server : this->fleet.servers("prices")) {
+        if (server->region != "north")
+            continue;
+        this->fleet.pause(*server, this->clock.now() + Milliseconds(10'000));
+        // The first case is a region with one of four servers left, whose slots are taken.
+        if (++paused == 3)
+            CHECK_TRUE(countCrossRegion() <= maximumShift * requestCount);
+    }
+    LONGS_EQUAL(4, paused);
+    CHECK_TRUE(countCrossRegion() <= maximumShift * requestCount);
+}
