--- a/src/edge/include/wagtailrack/edge/Placement.h
+++ b/src/edge/include/wagtailrack/edge/Placement.h
@@ -176,8 +176,8 @@
 // Estimated time on the network to the server and back; twice that if a connection has to be opened.
 double estimateNetworkMs(const RankingRequest& request, const BackendServer& server);
 
-// Returns the time at which the first of the servers that could be chosen ends the pause that it asked for; nothing if
-// none pauses.
+// Returns the time at which the first of the servers that could be chosen ends the pause that it asked for; nothing
+// unless all of them pause.
 std::optional<SteadyTime> earliestPauseEnd(
     const BackendFleet& fleet, const std::string& service, const RouteRule& rule, SteadyTime now);
 
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -142,12 +142,12 @@
 {
     if (!fleet.isUsable(server))
         return server.isLeaving ? ServerExclusion::Leaving : ServerExclusion::Evacuated;
-    if (request.excludedServers.contains(&server))
-        return ServerExclusion::AlreadyTried;
     if (!isHomeRegion(request.rule, server.region))
         return ServerExclusion::OtherHomeRegion;
     if (!isAcceptingRequests(server, now))
         return server.pausedUntil > now ? ServerExclusion::Pausing : ServerExclusion::Resuming;
+    if (request.excludedServers.contains(&server))
+        return ServerExclusion::AlreadyTried;
     return ServerExclusion::None;
 }
 
@@ -166,14 +166,18 @@
 }
 
 // Returns the servers that may execute the request, in the object's rendezvous order. Servers that were recently
-// unreachable are left out unless all of them were.
+// unreachable are left out unless all of them were. Adds to `pausingSlots` the slots of the servers of the own region
+// that accept no request because of a pause.
 std::vector<Candidate> findCandidates(const BackendFleet& fleet, const RankingRequest& request,
-    const std::string& objectRegion, uint64_t objectHash, SteadyTime now, std::vector<ExcludedServer>* excluded)
+    const std::string& objectRegion, uint64_t objectHash, SteadyTime now, std::vector<ExcludedServer>* excluded,
+    double& pausingSlots)
 {
     std::vector<Candidate> candidates;
     for (const BackendServerPointer& server : fleet.servers(request.service.name)) {
         const ServerExclusion exclusion = exclusionOf(fleet, request, *server, now);
         if (exclusion != ServerExclusion::None) {
+            const bool isPause = exclusion == ServerExclusion::Pausing || exclusion == ServerExclusion::Resuming;
+            pausingSlots += isPause && server->region == request.ownRegion ? slotsOf(*server) : 0;
             if (excluded)
                 excluded->push_back({ server, exclusion });
             continue;
@@ -196,13 +200,14 @@
 }
 
 // Removes the servers of other regions than the own and the object's if the shift limiter currently allows no further
-// cross-region requests and the own region has a candidate. The regions of objects change slowly enough by themselves.
-// Returns the usable slots of the own region's candidates.
+// cross-region requests and the own region has a candidate or pausing servers. The regions of objects change slowly
+// enough by themselves. Servers that pause are not lost: the limit also applies when all of them pause at once, and
+// what cannot be sent then is refused. Returns the slots of the own region's candidates and pausing servers.
 double limitCandidatesToOwnRegion(std::vector<Candidate>& candidates, const RankingRequest& request,
-    const std::string& objectRegion, std::vector<ExcludedServer>* excluded)
+    const std::string& objectRegion, double pausingSlots, std::vector<ExcludedServer>* excluded)
 {
-    double slots = 0;
-    bool hasOwnRegionCandidate = false;
+    double slots = pausingSlots;
+    bool hasOwnRegionCandidate = pausingSlots > 0;
     for (const Candidate& candidate : candidates) {
         if (candidate.server->region != request.ownRegion)
             continue;
@@ -411,8 +416,10 @@
 {
     std::optional<SteadyTime> earliest;
     for (const BackendServerPointer& server : fleet.servers(service)) {
-        if (!fleet.isUsable(*server) || !isHomeRegion(rule, server->region) || server->pausedUntil <= now)
+        if (!fleet.isUsable(*server) || !isHomeRegion(rule, server->region))
             continue;
+        if (server->pausedUntil <= now)
+            return std::nullopt;
         earliest = std::min(earliest.value_or(server->pausedUntil), server->pausedUntil);
     }
     return earliest;
@@ -460,11 +467,14 @@
     ranking.objectHash = objectHash;
     ranking.objectRegion = regionOfObject(request, objectHash);
     const std::string& objectRegion = ranking.objectRegion;
-    ranking.candidates = findCandidates(fleet, request, objectRegion, objectHash, now, excluded);
+    double pausingSlots = 0;
+    ranking.candidates = findCandidates(fleet, request, objectRegion, objectHash, now, excluded, pausingSlots);
     std::vector<Candidate>& candidates = ranking.candidates;
     if (candidates.empty())
         return ranking;
-    ranking.ownRegionSlots = limitCandidatesToOwnRegion(candidates, request, objectRegion, excluded);
+    ranking.ownRegionSlots = limitCandidatesToOwnRegion(candidates, request, objectRegion, pausingSlots, excluded);
+    if (candidates.empty())
+        return ranking;
     // The preferred server is the first one of the object's region, or else of the own region, or else of all.
     const auto firstInRegion = [&candidates](const std::string& region) {
         return std::find_if(candidates.begin(), candidates.end(),
--- a/src/edge/src/RefusalDelays.cpp
+++ b/src/edge/src/RefusalDelays.cpp
@@ -1,6 +1,7 @@
 #include <wagtailrack/edge/RefusalDelays.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace wagtailrack::edge {
 
@@ -33,7 +34,8 @@
 
 double pauseRetryAfter(SteadyTime now, SteadyTime pauseEnd, double remainingMs) noexcept
 {
-    const double untilEnd = std::chrono::duration<double>(pauseEnd - now).count();
+    // Rounded up, because the field has whole milliseconds.
+    const double untilEnd = std::ceil(std::chrono::duration<double, std::milli>(pauseEnd - now).count()) / 1000;
     return std::min(untilEnd, std::max(0.0, remainingMs) / 1000);
 }
 
