JsonRpc: a malformed answer of a peer does not end the process

Cause: jsonrpc::Client::CallMethod has the exception specification throw(JsonRpcException). Any other exception inside it, of the JSON parser or of the transport, ends the process before the catch clause of callJsonRpc: an answer with 5,000 nested lists gave "terminate called after throwing an instance of 'Json::RuntimeError'" in MalformedPeerAnswer.isRefused.

Change: callJsonRpc encodes the request and decodes the answer itself, with a depth limit of 100, and turns every std::exception into a refused answer.

--- a/src/connection/rpc/JsonRpc.cpp
+++ b/src/connection/rpc/JsonRpc.cpp
@@ -1,12 +1,15 @@
 #include <wagtailrack/connection/JsonRpc.h>
 
-#include <jsonrpccpp/client.h>
+#include <json/reader.h>
+#include <json/writer.h>
+#include <jsonrpccpp/common/errors.h>
 #include <jsonrpccpp/common/exception.h>
 #include <jsonrpccpp/common/procedure.h>
 #include <jsonrpccpp/server/iprocedureinvokationhandler.h>
 #include <jsonrpccpp/server/requesthandlerfactory.h>
 
 #include <map>
+#include <memory>
 #include <utility>
 
 namespace wagtailrack {
@@ -65,42 +68,73 @@
 
 namespace {
 
-class TransportConnector : public jsonrpc::IClientConnector {
-public:
-    explicit TransportConnector(const JsonRpcTransport& function)
-        : transport(function)
-    {
-    }
+// Messages of this program are at most a few levels deep; the parser recurses once for each level.
+constexpr int maxAnswerDepth = 100;
 
-    void SendRPCMessage(const std::string& message, std::string& result) throw(jsonrpc::JsonRpcException) override
-    {
-        if (!this->transport(message, result))
-            throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR);
-    }
+constexpr const char* protocolVersion = "2.0";
+constexpr int requestId = 1;
 
-private:
-    const JsonRpcTransport& transport;
-};
+std::string encodeRequest(const std::string& method, const Json::Value& parameters)
+{
+    Json::Value request(Json::objectValue);
+    request["jsonrpc"] = protocolVersion;
+    request["id"] = requestId;
+    request["method"] = method;
+    request["params"] = parameters;
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, request);
+}
 
+JsonRpcAnswer refused(int code, const std::string& message)
+{
+    JsonRpcAnswer answer;
+    answer.end = JsonRpcEnd::Refused;
+    answer.failure = { code, message };
+    return answer;
 }
 
-JsonRpcAnswer callJsonRpc(const JsonRpcTransport& transport, const std::string& method, const Json::Value& parameters)
+JsonRpcAnswer decodeAnswer(const std::string& text)
 {
-    TransportConnector connector(transport);
-    jsonrpc::Client client(connector);
+    Json::CharReaderBuilder builder;
+    builder["collectComments"] = false;
+    builder["stackLimit"] = maxAnswerDepth;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value message;
+    if (!reader->parse(text.data(), text.data() + text.size(), &message, nullptr) || !message.isObject()
+        || message["jsonrpc"] != Json::Value(protocolVersion) || message["id"] != Json::Value(requestId))
+        return refused(jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE, "not a JSON-RPC response");
+    if (message.isMember("error")) {
+        const Json::Value& error = message["error"];
+        if (!error.isObject() || !error["code"].isInt() || !error["message"].isString())
+            return refused(jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE, "the error is malformed");
+        return refused(error["code"].asInt(), error["message"].asString());
+    }
+    if (!message.isMember("result"))
+        return refused(jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE, "neither result nor error");
     JsonRpcAnswer answer;
+    answer.end = JsonRpcEnd::Answered;
+    answer.value = std::move(message["result"]);
+    return answer;
+}
+
+}
+
+// jsonrpc::Client is not used: its methods have dynamic exception specifications, so that any other exception than its
+// own, such as that of a text nested too deeply, ends the process although it is caught here.
+JsonRpcAnswer callJsonRpc(const JsonRpcTransport& transport, const std::string& method, const Json::Value& parameters)
+{
     try {
-        client.CallMethod(method, parameters, answer.value);
-        answer.end = JsonRpcEnd::Answered;
-    } catch (const jsonrpc::JsonRpcException& failure) {
-        const bool isTransport = failure.GetCode() == jsonrpc::Errors::ERROR_CLIENT_CONNECTOR;
-        answer.end = isTransport ? JsonRpcEnd::TransportFailed : JsonRpcEnd::Refused;
-        answer.failure = { failure.GetCode(), failure.GetMessage() };
-    } catch (const Json::Exception& failure) {
-        answer.end = JsonRpcEnd::Refused;
-        answer.failure = { jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE, failure.what() };
+        std::string text;
+        if (transport(encodeRequest(method, parameters), text))
+            return decodeAnswer(text);
+        JsonRpcAnswer answer;
+        answer.end = JsonRpcEnd::TransportFailed;
+        answer.failure = { jsonrpc::Errors::ERROR_CLIENT_CONNECTOR, "no answer" };
+        return answer;
+    } catch (const std::exception& failure) {
+        return refused(jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE, failure.what());
     }
-    return answer;
 }
 
 }
