HttpConnection: answers with long lines and exceptions fail the exchange alone

Cause: httplib reads a line of any length and matches the status line with std::regex, which recurses for each character. A status line of 200,000 characters ended the test program with SIGSEGV (MalformedAnswer); in a thread with 1 MB of stack, as those of caller connections, 8,192 are enough and 4,096 are not. A client read had no limit at all until its deadline, and an exception in an exchange left the thread: "terminate called after throwing an instance of 'std::length_error' what(): basic_string::_M_create" with an exception that the test throws. Which input makes httplib throw by itself was not found.

Change: SocketStream limits the first line of an answer to 1,024 bytes and other lines to 8,192, HttpConnection limits the bytes of an answer, and turns an exception in an exchange into AnswerInvalid. The request then counts as possibly sent.

--- a/src/connection/src/HttpConnection.cpp
+++ b/src/connection/src/HttpConnection.cpp
@@ -9,6 +9,16 @@
 
 namespace {
 
+// httplib matches the status line with std::regex, which recurses for each character: 8,192 overflow the 1 MB stack of
+// a connection's thread, 4,096 do not.
+constexpr int64_t maxStatusLineBytes = 1024;
+// As in httplib, which compares only after it has read the whole line.
+constexpr int64_t maxHeaderLineBytes = CPPHTTPLIB_HEADER_MAX_LENGTH;
+// All headers of an answer, and the framing of a few chunks.
+constexpr int64_t maxOverheadBytes = 65'536;
+// Framing of chunks relative to their content: chunks of 8 bytes, the smallest that are expected, have 5 more.
+constexpr int64_t bodyFramingFactor = 2;
+
 bool hasControlCharacter(const std::string& text)
 {
     return std::any_of(
@@ -97,8 +107,17 @@
         SocketStream stream(socket.sock);
         stream.setDeadline(this->limits->deadline);
         stream.setFirstByteDeadline(this->limits->firstByteDeadline);
+        stream.setLineLimits(maxStatusLineBytes, maxHeaderLineBytes);
+        const int64_t bodyBytes = std::min(this->limits->maxBodyBytes, INT64_MAX / 4);
+        stream.setReadLimit(bodyFramingFactor * bodyBytes + maxOverheadBytes);
         stream.setSlowAction(this->limits->slowAt, this->limits->slowAction);
-        const bool isDone = callback(stream);
+        bool isDone = false;
+        try {
+            isDone = callback(stream);
+        } catch (const std::exception&) {
+            // httplib parses what any program at this address sends, and most callers are threads that do not catch.
+            // Fails below like an unreadable answer, so that the request still counts as sent.
+        }
         this->sent = stream.bytesWritten() > 0 ? SendProgress::MaybeSent : SendProgress::NothingSent;
         this->received = stream.bytesRead() > 0 ? ReceiveProgress::SomeReceived : ReceiveProgress::NothingReceived;
         this->cancellable.end();
--- a/src/connection/src/SocketStream.cpp
+++ b/src/connection/src/SocketStream.cpp
@@ -20,6 +20,12 @@
 
 void SocketStream::setReadLimit(int64_t bytes) noexcept { this->readLimit = bytes; }
 
+void SocketStream::setLineLimits(int64_t firstLineBytes, int64_t otherLineBytes) noexcept
+{
+    this->firstLineLimit = firstLineBytes;
+    this->otherLineLimit = otherLineBytes;
+}
+
 void SocketStream::setSlowAction(SteadyTime time, std::function<void()> action)
 {
     this->slowAt = time;
@@ -56,12 +62,26 @@
     return this->waitFor(POLLIN, end);
 }
 
-ssize_t SocketStream::countRead(ssize_t size) noexcept
+ssize_t SocketStream::countRead(const char* data, ssize_t size) noexcept
 {
     this->readCount += std::max<ssize_t>(size, 0);
+    if (size == 1 && *data == '\n') {
+        constexpr int64_t emptyLineBytes = 1; // The carriage return.
+        this->isFirstLine = this->lineBytes <= emptyLineBytes;
+        this->lineBytes = 0;
+    } else if (size == 1) {
+        ++this->lineBytes;
+    } else {
+        this->lineBytes = 0;
+    }
     return size;
 }
 
+bool SocketStream::isLineTooLong() const noexcept
+{
+    return this->lineBytes >= (this->isFirstLine ? this->firstLineLimit : this->otherLineLimit);
+}
+
 bool SocketStream::is_readable() const { return this->waitFor(POLLIN, this->deadline); }
 
 bool SocketStream::is_writable() const { return this->waitFor(POLLOUT, this->deadline); }
@@ -69,15 +89,16 @@
 ssize_t SocketStream::read(char* data, size_t size)
 {
     // A peer that sends a byte at a time would otherwise never reach the deadline.
-    if (std::chrono::steady_clock::now() >= this->deadline || this->readCount >= this->readLimit)
+    if (std::chrono::steady_clock::now() >= this->deadline || this->readCount >= this->readLimit
+        || this->isLineTooLong())
         return -1;
     // Most messages are in the socket's buffer already, so that the poll is saved.
     const ssize_t ready = ::recv(this->descriptor, data, size, MSG_DONTWAIT);
     if (ready >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR))
-        return this->countRead(ready);
+        return this->countRead(data, ready);
     if (!this->waitForInput())
         return -1;
-    return this->countRead(::recv(this->descriptor, data, size, MSG_DONTWAIT));
+    return this->countRead(data, ::recv(this->descriptor, data, size, MSG_DONTWAIT));
 }
 
 ssize_t SocketStream::write(const char* data, size_t size)
--- a/src/connection/src/SocketStream.h
+++ b/src/connection/src/SocketStream.h
@@ -17,6 +17,9 @@
     void setFirstByteDeadline(SteadyTime time) noexcept;
     // Reads fail once this many bytes have been read in all.
     void setReadLimit(int64_t bytes) noexcept;
+    // Reads fail in a line that is longer than these limits. httplib reads lines a byte at a time and has no limit of
+    // its own. The first line of a message follows the beginning or an empty line.
+    void setLineLimits(int64_t firstLineBytes, int64_t otherLineBytes) noexcept;
     // Calls `action` once, from read(), when no byte has been read by `time`.
     void setSlowAction(SteadyTime time, std::function<void()> action);
 
@@ -36,7 +39,8 @@
 private:
     bool waitFor(short events, SteadyTime until) const;
     bool waitForInput();
-    ssize_t countRead(ssize_t size) noexcept;
+    ssize_t countRead(const char* data, ssize_t size) noexcept;
+    bool isLineTooLong() const noexcept;
 
     int descriptor;
     SteadyTime deadline = SteadyTime::max();
@@ -45,6 +49,11 @@
     std::function<void()> slowAction;
     int64_t readLimit = INT64_MAX;
     int64_t readCount = 0;
+    int64_t firstLineLimit = INT64_MAX;
+    int64_t otherLineLimit = INT64_MAX;
+    // Bytes of the current line, and whether it is the first one of a message.
+    int64_t lineBytes = 0;
+    bool isFirstLine = true;
     int64_t writtenCount = 0;
 };
 
