--- a/src/edge/tests/RegionSharesSimulationTest.cpp
+++ b/src/edge/tests/RegionSharesSimulationTest.cpp
@@ -17,8 +17,8 @@
     static simulation::Workload unevenRegions(double utilisation, bool isFullSize)
     {
         const int factor = isFullSize ? 2 : 1;
-        return { .requestsPerSecond = utilisation * 51 * factor * simulation::defaultSlots * 1000
-                / simulation::SimulatedServer::cachedMs,
+        return { .requestsPerSecond
+            = utilisation * 51 * factor * simulation::defaultSlots * 1000 / simulation::SimulatedServer::cachedMs,
             .objects = 200 * factor,
             .seconds = static_cast<int>(seconds),
             .domainSizes
