--- a/src/connection/src/HttpConnection.cpp
+++ b/src/connection/src/HttpConnection.cpp
@@ -9,14 +9,16 @@
 
 namespace {
 
-// httplib matches the status line with std::regex, which recurses for each character: 200,000 overflow a stack of 8 MB. In
-// a trial with a similar expression and 1 MB, as the threads of caller connections have, 8,192 did and 4,096 did not.
+// httplib matches the status line with std::regex, which recurses for each character: 200,000 overflow a stack of 8 MB.
+// In a trial with a similar expression and 1 MB, as the threads of caller connections have, 8,192 did and 4,096 did
+// not.
 constexpr int64_t maxStatusLineBytes = 1024;
 // As in httplib, which compares only after it has read the whole line.
 constexpr int64_t maxHeaderLineBytes = CPPHTTPLIB_HEADER_MAX_LENGTH;
 // All headers of an answer, and the framing of a few chunks.
 constexpr int64_t maxOverheadBytes = 65'536;
-// Bytes of a body with the framing of its chunks, relative to its content: enough for chunks of 5 bytes, which have 5 more.
+// Bytes of a body with the framing of its chunks, relative to its content: enough for chunks of 5 bytes, which have 5
+// more.
 constexpr int64_t bodyFramingFactor = 2;
 
 bool hasControlCharacter(const std::string& text)
