BackendFleet: a restart under the same id has another key

Cause: estimates, cached objects and loads are told by the hash of the server's id, so a restarted process inherited those of the former one from hubs and from the instance's own samples. Change: the key also has the start time, where the record tells it. Placement still goes by the id. Ruled out: clearing the tracker at a restart, since other hubs go on telling the old figures.

--- a/src/edge/include/wagtailrack/edge/LoadMessages.h
+++ b/src/edge/include/wagtailrack/edge/LoadMessages.h
@@ -13,7 +13,7 @@
 // Load messages that instances exchange about backend servers, encoded as MessagePack in datagrams.
 namespace wagtailrack::edge {
 
-// Identifies a server: the lower 32 bits of the hash of its id.
+// Identifies a server lifetime: the lower 32 bits of the hash of its id and, if known, of its start time.
 using ServerKey = uint32_t;
 // Identifies an object of a route: the lower 32 bits of its hash.
 using ObjectKey = uint32_t;
--- a/src/edge/src/BackendFleet.cpp
+++ b/src/edge/src/BackendFleet.cpp
@@ -111,7 +111,11 @@
         server->firstSeenAt = now;
         server->coldTokensRefilledAt = now;
         server->placementHash = hash64(record.id);
-        server->key = static_cast<ServerKey>(server->placementHash);
+        // A restart under the same id has another key, so that estimates and caches of the former process, which peers
+        // may still tell about, are not taken for those of the new one.
+        server->key = static_cast<ServerKey>(record.startedAtMs == 0
+                ? server->placementHash
+                : hash64(std::to_string(record.startedAtMs), server->placementHash));
         const auto paused = this->pauses.find(departureLifetimeOf(record));
         if (paused != this->pauses.end() && paused->second > now) {
             server->pausedUntil = paused->second;
--- a/src/edge/tests/BackendFleetTest.cpp
+++ b/src/edge/tests/BackendFleetTest.cpp
@@ -213,3 +213,27 @@
     this->fleet.removeExpiredServers();
     LONGS_EQUAL(3, this->fleet.servers("prices").size());
 }
+
+// Guards against a restarted server getting the estimates that peers still tell about its former process.
+TEST(BackendFleet, restartedServerBeginsWithANeutralCapacity)
+{
+    ServerRecord first = record("s1");
+    first.startedAtMs = 5;
+    this->applyRecords({ first });
+    const ServerKey formerKey = this->onlyServer().key;
+    const auto applyTable = [this, formerKey] {
+        ServerStatusTable table;
+        table.lastServer = ~ServerKey(0);
+        table.servers.push_back({ formerKey, 0, 0, 400, false, 50, 300, 90 });
+        this->fleet.applyStatusTable(table);
+    };
+    applyTable();
+    DOUBLES_EQUAL(0.5, this->onlyServer().capacity.knee, 0.001);
+    ServerRecord restarted = first;
+    restarted.startedAtMs = 9;
+    this->applyRecords({ restarted });
+    applyTable();
+    CHECK_TRUE(formerKey != this->onlyServer().key);
+    DOUBLES_EQUAL(1, this->onlyServer().capacity.knee, 0.001);
+    DOUBLES_EQUAL(1, this->onlyServer().capacity.speed, 0.001);
+}
