Capacity estimates are observed and not applied

Change: CapacityUse::Observe is the fleet's mode: the choice of a server follows the latency ratio as before, the estimates are exchanged and shown by explain and status. Apply remains for the simulations. Placement has the latency ratio back, messages have both; the fourth figure of the load header is used by the estimates only.

--- a/src/edge/include/wagtailrack/edge/BackendFleet.h
+++ b/src/edge/include/wagtailrack/edge/BackendFleet.h
@@ -78,7 +78,12 @@
     ServerActivity unreportedActivity;
     // Ratio of recent attempts that failed, 0 to 1.
     double failureRate = 0;
+    // Ratio of actual to expected response time, averaged; 1 for a server as fast as expected, and with
+    // CapacityUse::Apply.
+    double latencyRatio = 1;
+    // The estimate that the choice of a server follows; the default value with CapacityUse::Observe.
     ServerCapacityEstimate capacity;
+    ServerCapacityEstimate estimatedCapacity;
     // Logarithm of actual to expected duration, including what the servers of the service have in common.
     double durationLogRatio = 0;
     // Moving average of the expected processing time of the requests sent to this server.
@@ -123,6 +128,7 @@
 
     BackendFleet(const Clock& clock, std::map<std::string, std::string> regionOfDomain);
 
+    void setCapacityUse(CapacityUse use) { this->capacityUse = use; }
     void setLeavingHook(LeavingHook hook) { this->leavingHook = std::move(hook); }
 
     // Applies a complete snapshot of the registry. Servers that are missing from it are removed at
@@ -222,6 +228,8 @@
     std::set<CachedObject> unreportedCachedObjects;
     std::set<std::string> evacuatedDomains;
     ServerCapacityTracker ownCapacities;
+    // A day with servers of unequal speeds (trial, docs/design/server-capacity.md) was served worse with Apply.
+    CapacityUse capacityUse = CapacityUse::Observe;
     // Server lifetimes that said they are leaving, and when; the oldest are forgotten beyond a fixed number.
     std::map<DepartedServers::Lifetime, SteadyTime> leavingNotices;
     // Ends of the pauses that server lifetimes asked for; those that are over are removed at the next pause.
--- a/src/edge/include/wagtailrack/edge/LoadHub.h
+++ b/src/edge/include/wagtailrack/edge/LoadHub.h
@@ -48,6 +48,7 @@
     // Health of a server, derived from the attempts of this domain's instances.
     struct ServerHealth {
         double failureRate = 0;
+        double latencyRatio = 0;
         int consecutiveUnreachableAttempts = 0;
         SteadyTime sampledAt;
     };
--- a/src/edge/include/wagtailrack/edge/LoadMessages.h
+++ b/src/edge/include/wagtailrack/edge/LoadMessages.h
@@ -47,13 +47,14 @@
     uint32_t answeredAttempts = 0;
     uint32_t failedAttempts = 0;
     uint32_t unreachableAttempts = 0;
-    // Position of a value that instances of earlier releases send; always 0.
-    uint32_t unused = 0;
+    // Sum over the answered attempts of the ratio of actual to expected duration, in percent.
+    uint32_t latencyRatioSumPercent = 0;
     // Durations of the answered attempts.
     std::vector<LoadBandSamples> durations {};
 
     friend bool operator==(const ServerActivity&, const ServerActivity&) = default;
-    MSGPACK_DEFINE(server, inFlight, answeredAttempts, failedAttempts, unreachableAttempts, unused, durations)
+    MSGPACK_DEFINE(
+        server, inFlight, answeredAttempts, failedAttempts, unreachableAttempts, latencyRatioSumPercent, durations)
 };
 
 // A server that has handled an object and therefore answers requests for it faster.
@@ -120,17 +121,19 @@
     uint32_t totalInFlight = 0;
     // Percentage of the recent attempts by instances of the failure domain that failed.
     uint32_t failureRatePercent = 0;
-    // Ratio of actual to expected duration in percent, below the knee: 0 if nothing was measured.
-    uint32_t durationRatioPercent = 0;
+    // Ratio of actual to expected duration in percent: 100 for a normal server, 0 if nothing was measured.
+    uint32_t latencyRatioPercent = 0;
     bool isUnreachable = false;
     // As in ServerCapacityTracker::RelativeCapacity, in percent. Missing in the tables of older versions.
     uint32_t kneePercent = 100;
     uint32_t slowdownPercent = 100;
     uint32_t confidencePercent = 0;
+    // Ratio of actual to expected duration in percent, below the knee: 0 if nothing was measured.
+    uint32_t durationRatioPercent = 0;
 
     friend bool operator==(const ServerStatus&, const ServerStatus&) = default;
-    MSGPACK_DEFINE(server, totalInFlight, failureRatePercent, durationRatioPercent, isUnreachable, kneePercent,
-        slowdownPercent, confidencePercent)
+    MSGPACK_DEFINE(server, totalInFlight, failureRatePercent, latencyRatioPercent, isUnreachable, kneePercent,
+        slowdownPercent, confidencePercent, durationRatioPercent)
 };
 
 // Requests that all instances of a region have in flight on the servers of one service in one region.
--- a/src/edge/include/wagtailrack/edge/ServerCapacity.h
+++ b/src/edge/include/wagtailrack/edge/ServerCapacity.h
@@ -26,6 +26,13 @@
     friend bool operator==(const DurationSample&, const DurationSample&) = default;
 };
 
+// Whether the choice of a server follows the estimates.
+enum class CapacityUse {
+    // Estimates are shown to operators only; the choice follows the average ratio of actual to expected durations.
+    Observe,
+    Apply,
+};
+
 // Figures of a server's load report that came with a response; the request that was answered no longer counts.
 struct ReportedLoad {
     int64_t running = 0;
--- a/src/edge/src/BackendFleet.cpp
+++ b/src/edge/src/BackendFleet.cpp
@@ -20,6 +20,8 @@
 constexpr int maximumAvoidanceDoublings = 2;
 // Objects recorded for each server; limits the memory use of an instance.
 constexpr size_t maximumCachedObjects = 256;
+// Upper limit of a single latency ratio sample, so that one very slow response does not dominate the average.
+constexpr double maximumLatencyRatio = 20;
 // A server's estimate comes from a status table until the table is this old; hubs send tables far more often.
 constexpr Milliseconds statusTableValidity(1000);
 // Deviations from the median within this (in logarithms, about 65%) count as chance: busy neighbours on the machines
@@ -332,6 +334,10 @@
 void BackendFleet::recordDuration(BackendServer& server, const DurationSample& sample)
 {
     ++server.unreportedActivity.answeredAttempts;
+    const double ratio = std::clamp(sample.durationMs / std::max(sample.expectedMs, 1.0), 0.2, maximumLatencyRatio);
+    if (this->capacityUse == CapacityUse::Observe)
+        server.latencyRatio = updatedAverage(server.latencyRatio, ratio, attemptSampleWeight);
+    server.unreportedActivity.latencyRatioSumPercent += static_cast<uint32_t>(std::lround(100 * ratio));
     const LoadBandSamples added = loadBandSamplesOf(sample);
     if (added.band >= loadBandCount)
         return;
@@ -350,10 +356,10 @@
 void BackendFleet::setCapacity(BackendServer& server, const ServerCapacityTracker::RelativeCapacity& capacity)
 {
     server.durationLogRatio = capacity.logRatio;
-    server.capacity.knee = capacity.knee;
-    server.capacity.slowdown = capacity.slowdown;
-    server.capacity.confidence = capacity.confidence;
-    server.capacity.sampledAt = this->clock.now();
+    server.estimatedCapacity.knee = capacity.knee;
+    server.estimatedCapacity.slowdown = capacity.slowdown;
+    server.estimatedCapacity.confidence = capacity.confidence;
+    server.estimatedCapacity.sampledAt = this->clock.now();
 }
 
 void BackendFleet::applyOwnCapacities()
@@ -381,9 +387,11 @@
         const double median = medianLogRatio(logRatios);
         for (const BackendServerPointer& server : members) {
             const double deviation = median - server->durationLogRatio;
-            server->capacity.speed = std::abs(deviation) < insignificantDeviation
+            server->estimatedCapacity.speed = std::abs(deviation) < insignificantDeviation
                 ? 1
                 : std::clamp(std::exp(deviation), minimumSpeed, maximumSpeed);
+            if (this->capacityUse == CapacityUse::Apply)
+                server->capacity = server->estimatedCapacity;
         }
     }
 }
@@ -453,6 +461,8 @@
         BackendServer& server = *found->second;
         server.totalLoad = status.totalInFlight;
         server.failureRate = status.failureRatePercent / 100.0;
+        if (status.latencyRatioPercent > 0 && this->capacityUse == CapacityUse::Observe)
+            server.latencyRatio = status.latencyRatioPercent / 100.0;
         if (status.durationRatioPercent > 0)
             this->setCapacity(server,
                 { std::log(status.durationRatioPercent / 100.0), status.kneePercent / 100.0,
--- a/src/edge/src/LoadHub.cpp
+++ b/src/edge/src/LoadHub.cpp
@@ -18,6 +18,8 @@
 // Consecutive attempts without a connection after which a server counts as unreachable, and for how long it does.
 constexpr int unreachableAttemptsBeforeAvoidance = 2;
 constexpr Milliseconds unreachableValidity(1500);
+// Larger ratios of actual to expected duration count as this one.
+constexpr double maximumLatencyRatio = 20;
 // Objects that were not requested for this long have probably been evicted from the server's cache. Health records
 // without new attempts are kept as long.
 constexpr Milliseconds cachedObjectValidity(20000);
@@ -105,6 +107,14 @@
     health.failureRate = decayed(health.failureRate, health.sampledAt, now);
     health.failureRate += weight * (failureRatio - health.failureRate);
     this->serverCapacities.add(activity.server, activity.durations);
+    if (activity.answeredAttempts > 0) {
+        const double ratio
+            = std::min(activity.latencyRatioSumPercent / 100.0 / activity.answeredAttempts, maximumLatencyRatio);
+        const double answeredWeight = 1 - std::pow(1 - attemptSampleWeight, activity.answeredAttempts);
+        const double previous
+            = health.latencyRatio > 0 ? 1 + decayed(health.latencyRatio - 1, health.sampledAt, now) : ratio;
+        health.latencyRatio = previous + answeredWeight * (ratio - previous);
+    }
     health.sampledAt = now;
     if (activity.answeredAttempts + activity.failedAttempts > 0)
         health.consecutiveUnreachableAttempts = 0;
@@ -233,6 +243,9 @@
         add(summary.inFlight);
     for (const auto& [server, health] : this->serverHealth) {
         ServerStatus& status = statuses[server];
+        const double latencyRatio
+            = health.latencyRatio > 0 ? 1 + decayed(health.latencyRatio - 1, health.sampledAt, now) : 0;
+        status.latencyRatioPercent = static_cast<uint32_t>(std::lround(100 * latencyRatio));
         status.failureRatePercent
             = static_cast<uint32_t>(std::lround(100 * decayed(health.failureRate, health.sampledAt, now)));
         status.isUnreachable = health.consecutiveUnreachableAttempts >= unreachableAttemptsBeforeAvoidance
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -78,8 +78,9 @@
 
 // Statistics over all candidate servers of a service.
 struct ServiceStatistics {
-    // Baseline that the servers are compared with: failures that affect all servers must not count against any single
-    // one.
+    // Baselines that the servers are compared with: median latency ratio and lowest failure rate. Slowness and failures
+    // that affect all servers must not count against any single one.
+    double medianLatencyRatio = 1;
     double lowestFailureRate = 0;
     // Whether any server is known to have handled the object of the request.
     bool isObjectKnown = false;
@@ -236,14 +237,20 @@
 {
     ServiceStatistics statistics;
     statistics.lowestFailureRate = maximumCommonFailureRate;
+    std::vector<double> latencyRatios;
+    latencyRatios.reserve(candidates.size());
     std::map<std::string_view, std::pair<double, double>> loadAndSlots;
     for (const Candidate& candidate : candidates) {
+        latencyRatios.push_back(candidate.server->latencyRatio);
         statistics.isObjectKnown = statistics.isObjectKnown || hasRecentlyHandled(*candidate.server, objectHash, now);
         statistics.lowestFailureRate = std::min(statistics.lowestFailureRate, candidate.server->failureRate);
         auto& [load, slots] = loadAndSlots[candidate.server->region];
         load += candidate.load;
         slots += usableSlots(*candidate.server);
     }
+    const auto median = latencyRatios.begin() + static_cast<std::ptrdiff_t>(latencyRatios.size() / 2);
+    std::nth_element(latencyRatios.begin(), median, latencyRatios.end());
+    statistics.medianLatencyRatio = std::max(*median, 1.0);
     for (const auto& [region, regionLoadAndSlots] : loadAndSlots) {
         const double utilisation = regionLoadAndSlots.first / regionLoadAndSlots.second;
         statistics.utilisations[region] = utilisation;
@@ -283,6 +290,7 @@
     choice.expectedProcessingMs = choice.isObjectCached ? processingTime.cachedMs : processingTime.uncachedMs;
     if (now < server.coldUntil)
         choice.expectedProcessingMs *= coldServerProcessingFactor;
+    choice.expectedProcessingMs *= std::max(server.latencyRatio / statistics.medianLatencyRatio, 1.0);
     choice.load = candidate.load;
     // Beyond the knee, a request takes longer on slots that are otherwise left unused. Counting that time as a cost
     // sent requests for cached objects to servers that had to execute them uncached, until all servers were beyond the
--- a/src/edge/src/RequestExplanation.cpp
+++ b/src/edge/src/RequestExplanation.cpp
@@ -279,10 +279,10 @@
     item["usable_slots"] = usableSlots(server);
     item["load"] = estimateLoad(server, now);
     item["failure_rate"] = server.failureRate;
-    item["speed"] = server.capacity.speed;
-    item["knee"] = server.capacity.knee;
-    item["slowdown"] = server.capacity.slowdown;
-    item["confidence"] = server.capacity.confidence;
+    item["speed"] = server.estimatedCapacity.speed;
+    item["knee"] = server.estimatedCapacity.knee;
+    item["slowdown"] = server.estimatedCapacity.slowdown;
+    item["confidence"] = server.estimatedCapacity.confidence;
     item["leaving"] = server.isLeaving;
     item["draining"] = server.record.state != version::ServerState::Active;
     item["evacuated"] = fleet.isEvacuated(server);
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -862,9 +862,8 @@
     this->dependencies.fleet.recordDuration(server, { durationMs, expectedMs, loadRatio, reported.machineFactor });
     // The route's processing time is known only for requests that did not wait, on servers that are not cold, not
     // beyond their knee and not known as slow. Latency at full load would be learned as the floor otherwise.
-    if (isCold || choice.expectedWaitMs > 0 || loadRatio > server.capacity.knee || server.capacity.speed < 1)
+    if (isCold || choice.expectedWaitMs > 0 || loadRatioOf(choice) > server.capacity.knee || server.capacity.speed < 1)
         return;
-    durationMs /= reported.machineFactor;
     // A low quantile, because some requests wait unnoticed behind requests of other instances, and some objects are not
     // cached.
     double& estimate = choice.isObjectCached ? processingTime.cachedMs : processingTime.uncachedMs;
--- a/src/edge/tests/BackendFleetTest.cpp
+++ b/src/edge/tests/BackendFleetTest.cpp
@@ -214,6 +214,21 @@
     LONGS_EQUAL(3, this->fleet.servers("prices").size());
 }
 
+// Guards against estimates changing the choice of servers although they are only observed.
+TEST(BackendFleet, estimatesAreFollowedOnlyIfTheyAreApplied)
+{
+    this->applyRecords({ record("s1") });
+    ServerStatusTable table;
+    table.lastServer = ~ServerKey(0);
+    table.servers.push_back({ this->onlyServer().key, 0, 0, 100, false, 50, 300, 90, 400 });
+    this->fleet.applyStatusTable(table);
+    DOUBLES_EQUAL(0.5, this->onlyServer().estimatedCapacity.knee, 0.001);
+    DOUBLES_EQUAL(1, this->onlyServer().capacity.knee, 0.001);
+    this->fleet.setCapacityUse(CapacityUse::Apply);
+    this->fleet.applyStatusTable(table);
+    DOUBLES_EQUAL(0.5, this->onlyServer().capacity.knee, 0.001);
+}
+
 // Guards against a restarted server getting the estimates that peers still tell about its former process.
 TEST(BackendFleet, restartedServerBeginsWithANeutralCapacity)
 {
@@ -224,16 +239,16 @@
     const auto applyTable = [this, formerKey] {
         ServerStatusTable table;
         table.lastServer = ~ServerKey(0);
-        table.servers.push_back({ formerKey, 0, 0, 400, false, 50, 300, 90 });
+        table.servers.push_back({ formerKey, 0, 0, 400, false, 50, 300, 90, 400 });
         this->fleet.applyStatusTable(table);
     };
     applyTable();
-    DOUBLES_EQUAL(0.5, this->onlyServer().capacity.knee, 0.001);
+    DOUBLES_EQUAL(0.5, this->onlyServer().estimatedCapacity.knee, 0.001);
     ServerRecord restarted = first;
     restarted.startedAtMs = 9;
     this->applyRecords({ restarted });
     applyTable();
     CHECK_TRUE(formerKey != this->onlyServer().key);
-    DOUBLES_EQUAL(1, this->onlyServer().capacity.knee, 0.001);
-    DOUBLES_EQUAL(1, this->onlyServer().capacity.speed, 0.001);
+    DOUBLES_EQUAL(1, this->onlyServer().estimatedCapacity.knee, 0.001);
+    DOUBLES_EQUAL(1, this->onlyServer().estimatedCapacity.speed, 0.001);
 }
--- a/src/edge/tests/LoadHubTest.cpp
+++ b/src/edge/tests/LoadHubTest.cpp
@@ -83,6 +83,15 @@
     CHECK_TRUE(this->statusOf(7).failureRatePercent < 20);
 }
 
+TEST(LoadHub, slowServersHaveAHighLatencyRatio)
+{
+    for (int attempt = 0; attempt < 10; ++attempt) {
+        this->hub.acceptReport(1, { { { 7, 0, 1, 0, 0, 500 }, { 8, 0, 2, 0, 0, 200 } }, {} });
+    }
+    LONGS_EQUAL(500, this->statusOf(7).latencyRatioPercent);
+    LONGS_EQUAL(100, this->statusOf(8).latencyRatioPercent);
+}
+
 // Guards against a slow server that every instance has to detect by itself. The estimate is drawn towards that of a
 // server of usual speed by two samples' weight, so it stays below the five times that was measured.
 TEST(LoadHub, slowServersHaveAHighDurationRatio)
--- a/src/edge/tests/ServiceSimulation.h
+++ b/src/edge/tests/ServiceSimulation.h
@@ -263,6 +263,7 @@
         , regionShares(clock, edgeSettings.region)
         , exchange(clock, this->settings, this->fleet, this->shiftLimiter, this->view, &this->regionShares)
     {
+        this->fleet.setCapacityUse(CapacityUse::Apply);
     }
 
     EdgeSettings settings;
