--- a/src/edge/include/wagtailrack/edge/RequestForwarder.h
+++ b/src/edge/include/wagtailrack/edge/RequestForwarder.h
@@ -12,7 +12,12 @@
 #include <wagtailrack/edge/InstanceMembership.h>
 #include <wagtailrack/edge/OverloadAdmission.h>
 #include <wagtailrack/edge/Placement.h>
+#include <wagtailrack/edge/RecentRequests.h>
+#include <wagtailrack/edge/RefusalDelays.h>
+#include <wagtailrack/edge/RequestExplanation.h>
 #include <wagtailrack/edge/RetryTokenBucket.h>
+#include <wagtailrack/edge/ServerNotices.h>
+#include <wagtailrack/edge/TrafficSplit.h>
 #include <wagtailrack/edge/UsageLimiter.h>
 
 #include <wagtailrack/process/Metrics.h>
@@ -62,6 +67,8 @@
         this->isDraining = true;
         this->acceptUntil = acceptUntil;
     }
+    // What explainRequest() reads; valid as long as this object.
+    ExplanationSources explanationSources() const;
     int64_t inFlightRequestCount() const noexcept { return this->inFlightRequests; }
 
 private:
@@ -147,6 +154,7 @@
     void finishAfterFailure(ForwardingState& state, const char* reason, double retryAfterSeconds);
     NextStep retryOrFinish(ForwardingState& state);
     bool prepareRequest(ForwardingState& state);
+    void keepForExplanation(const ForwardingState& state);
     // Counts the request for the usage limit of its workspace. Responds to the caller and returns false if it is
     // refused.
     bool admitUsage(ForwardingState& state);
@@ -163,14 +171,21 @@
     static ConnectionUse connectionUseOf(const ForwardingState& state);
     std::shared_ptr<Call> makeCall(const ForwardingState& state, const BackendServer& server) const;
     // `durationMs` is the duration of the attempt without the time to connect and the network round trip.
-    void recordProcessingTime(
-        const ForwardingState& state, BackendServer& server, const PlacementChoice& choice, double durationMs);
+    void recordProcessingTime(const ForwardingState& state, BackendServer& server, const PlacementChoice& choice,
+        double durationMs, const ReportedServerLoad& reported);
     // Finds out whether the server of an attempt that ended without a response has ended.
     void investigateBrokenAttempt(
         const ForwardingState& state, const BackendServerPointer& server, const Call& call, SteadyTime sentAt);
     asio::awaitable<void> probeServer(BackendServerPointer server);
     void recordRoundTrip(const BackendServer& server, const Call& call);
-    void recordServerLoad(BackendServer& server, const HttpResponse& response);
+    // Applies what a server tells about itself in the head of a response to a request for the server `addressed`.
+    void applyServerNotices(BackendServer& addressed, const http::response_header<>& head);
+    bool mayReceiveRequests(const BackendServer& server) const;
+    // Ends a request for which no further server may be used. If all servers of the service pause and it has not been
+    // executed, it is rejected until the first pause ends; otherwise as finishAfterFailure() does.
+    void finishWithoutServer(ForwardingState& state, const char* reason);
+    // Records the load that the server tells in its response, and returns it.
+    ReportedServerLoad recordServerLoad(BackendServer& server, const HttpResponse& response);
     // Rejects the request as not executed, with a Retry-After of at most a third of the time that its caller has left.
     void reject(ForwardingState& state, const char* reason, double retryAfterSeconds);
     // As reject(), with a Retry-After that may be longer than the caller waits.
@@ -184,7 +199,6 @@
     void countResponse(unsigned status, const char* origin);
     // Age of the copy of the configuration; -1 while no configuration is known.
     int64_t configurationAgeMs() const;
-    std::string chooseService(const RouteRule& rule);
     ProcessingTimeEstimate& processingTimeOf(const RouteRule& rule);
     void updateInstanceCounts();
     double remainingMs(const ForwardingState& state) const;
@@ -193,6 +207,7 @@
     double retrySlackPerInstance() const;
 
     ForwarderDependencies dependencies;
+    RecentRequests recentRequests;
     // After a restart of a running system.
     SteadyTime warmCachesAssumedUntil;
     std::map<std::string, RetryTokenBucket> retryTokenBuckets;
@@ -205,8 +220,7 @@
     SteadyTime nextInstanceUpdateAt;
     // Round-trip times to other regions, estimated from the time to connect to their servers.
     std::map<std::string, double> roundTripsMs;
-    // Number of requests that each service is behind its weight in the traffic split, by route and service.
-    std::map<std::string, std::map<std::string, double>> trafficSplitDeficits;
+    TrafficSplit trafficSplit;
     int64_t inFlightRequests = 0;
     bool isDraining = false;
     SteadyTime acceptUntil;
--- a/src/edge/src/BackendFleet.cpp
+++ b/src/edge/src/BackendFleet.cpp
@@ -22,18 +22,64 @@
 constexpr size_t maximumCachedObjects = 256;
 // Upper limit of a single latency ratio sample, so that one very slow response does not dominate the average.
 constexpr double maximumLatencyRatio = 20;
+// A server's estimate comes from a status table until the table is this old; hubs send tables far more often.
+constexpr Milliseconds statusTableValidity(1000);
+// Deviations from the median within this (in logarithms, about 65%) count as chance: busy neighbours on the machines
+// and objects that were evicted from caches make the means of healthy servers differ. 0.25 took healthy servers for
+// slow ones when all servers were equally slow.
+constexpr double insignificantDeviation = 0.5;
+// Bounds of the speed relative to the median. Servers do not count as faster than the median: chance differences
+// attracted requests for objects that these servers do not have in their caches, and busy neighbours cost a tenth of
+// the responses in time.
+constexpr double minimumSpeed = 0.05;
+constexpr double maximumSpeed = 1;
 // Maximum number of objects in one report to the hub. Objects beyond it are not reported until they are used again.
 constexpr size_t maximumReportedObjects = 60;
 // How long a server is avoided after the hub reported that other instances cannot reach it.
 constexpr Milliseconds hubReportedAvoidance(1000);
+// Server lifetimes that are remembered as leaving, and as pausing; several times the servers of the largest planned
+// deployment.
+constexpr size_t maximumNotices = 8192;
 
 double updatedAverage(double average, double sample, double weight) { return average + weight * (sample - average); }
 
+DepartedServers::Lifetime departureLifetimeOf(const ServerRecord& record) { return { record.id, record.startedAtMs }; }
+
+// Removes the earliest entry if there are too many.
+void limitNotices(std::map<DepartedServers::Lifetime, SteadyTime>& notices)
+{
+    if (notices.size() > maximumNotices)
+        notices.erase(std::min_element(notices.begin(), notices.end(),
+            [](const auto& left, const auto& right) { return left.second < right.second; }));
+}
+
+}
+
+double slotsOf(const BackendServer& server) noexcept
+{
+    return static_cast<double>(std::max<int64_t>(server.record.slots, 1));
+}
+
+bool isAcceptingRequests(const BackendServer& server, SteadyTime now) noexcept
+{
+    return server.pausedUntil <= now && (server.resumeWindow == 0 || server.inFlight < server.resumeWindow);
+}
+
+double usableSlots(const BackendServer& server) noexcept
+{
+    return std::max(1.0, std::floor(slotsOf(server) * server.capacity.knee));
+}
+
+double processingFactor(const BackendServer& server, double load) noexcept
+{
+    const double slowdown = load > usableSlots(server) ? server.capacity.slowdown : 1;
+    return slowdown / server.capacity.speed;
 }
 
 BackendFleet::BackendFleet(const Clock& clock, std::map<std::string, std::string> regionOfDomain)
     : clock(clock)
     , regionOfDomain(std::move(regionOfDomain))
+    , ownCapacities(clock)
 {
 }
 
@@ -67,11 +113,22 @@
         server->firstSeenAt = now;
         server->coldTokensRefilledAt = now;
         server->placementHash = hash64(record.id);
-        server->key = static_cast<ServerKey>(server->placementHash);
+        // A restart under the same id has another key, so that estimates and caches of the former process, which peers
+        // may still tell about, are not taken for those of the new one.
+        server->key = static_cast<ServerKey>(record.startedAtMs == 0
+                ? server->placementHash
+                : hash64(std::to_string(record.startedAtMs), server->placementHash));
+        const auto paused = this->pauses.find(departureLifetimeOf(record));
+        if (paused != this->pauses.end() && paused->second > now) {
+            server->pausedUntil = paused->second;
+            server->resumeWindow = 1;
+        }
     }
     const auto region = this->regionOfDomain.find(record.failureDomain);
     server->region = region == this->regionOfDomain.end() ? std::string() : region->second;
     this->updateServer(*server, record);
+    if (this->hasLeavingNotice(record))
+        this->markLeaving(*server, saidLeavingReason);
 }
 
 void BackendFleet::applyRecords(const std::vector<ServerRecord>& records, SteadyTime missingGraceUntil)
@@ -210,9 +267,34 @@
     return found == this->byKey.end() ? nullptr : found->second.get();
 }
 
+BackendServerPointer BackendFleet::findOtherAt(const Endpoint& address, const std::string& id) const
+{
+    BackendServerPointer other;
+    for (const auto& [otherId, server] : this->byId) {
+        if (otherId == id || server->isLeaving || !(server->record.address == address))
+            continue;
+        if (other)
+            return nullptr;
+        other = server;
+    }
+    return other;
+}
+
+BackendServerPointer BackendFleet::findLifetime(const ServerRecord& record) const
+{
+    const auto found = this->byId.find(record.id);
+    return found == this->byId.end() || found->second->record.startedAtMs != record.startedAtMs ? nullptr
+                                                                                                : found->second;
+}
+
 bool BackendFleet::isUsable(const BackendServer& server) const
 {
-    return !server.isLeaving && !this->evacuatedDomains.contains(server.record.failureDomain);
+    return !server.isLeaving && !this->isEvacuated(server);
+}
+
+bool BackendFleet::isEvacuated(const BackendServer& server) const
+{
+    return this->evacuatedDomains.contains(server.record.failureDomain);
 }
 
 void BackendFleet::beginAttempt(BackendServer& server, double processingMs)
@@ -233,6 +315,9 @@
     else if (isFailure)
         ++server.unreportedActivity.failedAttempts;
     server.failureRate = updatedAverage(server.failureRate, isFailure ? 1 : 0, attemptSampleWeight);
+    // After a pause, each answered request allows one more at a time, until the server takes as many as usual.
+    if (outcome == AttemptOutcome::Answered && server.resumeWindow > 0 && server.pausedUntil <= now)
+        server.resumeWindow = server.resumeWindow < server.record.slots ? server.resumeWindow + 1 : 0;
     if (outcome != AttemptOutcome::Unreachable) {
         server.consecutiveUnreachable = 0;
         return;
@@ -244,12 +329,71 @@
     server.avoidUntil = now + initialAvoidance * (1 << doublings);
 }
 
-void BackendFleet::recordDuration(BackendServer& server, double durationMs, double expectedMs)
+void BackendFleet::withdrawAttempt(BackendServer& server) { --server.inFlight; }
+
+void BackendFleet::recordDuration(BackendServer& server, const DurationSample& sample)
 {
-    const double sample = std::clamp(durationMs / std::max(expectedMs, 1.0), 0.2, maximumLatencyRatio);
-    server.latencyRatio = updatedAverage(server.latencyRatio, sample, attemptSampleWeight);
     ++server.unreportedActivity.answeredAttempts;
-    server.unreportedActivity.latencyRatioSumPercent += static_cast<uint32_t>(std::lround(100 * sample));
+    const double ratio = std::clamp(sample.durationMs / std::max(sample.expectedMs, 1.0), 0.2, maximumLatencyRatio);
+    if (this->capacityUse == CapacityUse::Observe)
+        server.latencyRatio = updatedAverage(server.latencyRatio, ratio, attemptSampleWeight);
+    server.unreportedActivity.latencyRatioSumPercent += static_cast<uint32_t>(std::lround(100 * ratio));
+    const LoadBandSamples added = loadBandSamplesOf(sample);
+    if (added.band >= loadBandCount)
+        return;
+    this->ownCapacities.add(server.key, { added });
+    std::vector<LoadBandSamples>& unreported = server.unreportedActivity.durations;
+    const auto sameBand = std::find_if(unreported.begin(), unreported.end(),
+        [&added](const LoadBandSamples& samples) { return samples.band == added.band; });
+    if (sameBand == unreported.end()) {
+        unreported.push_back(added);
+        return;
+    }
+    sameBand->weightTenths += added.weightTenths;
+    sameBand->logRatioSumPercent += added.logRatioSumPercent;
+}
+
+void BackendFleet::setCapacity(BackendServer& server, const ServerCapacityTracker::RelativeCapacity& capacity)
+{
+    server.durationLogRatio = capacity.logRatio;
+    server.estimatedCapacity.knee = capacity.knee;
+    server.estimatedCapacity.slowdown = capacity.slowdown;
+    server.estimatedCapacity.confidence = capacity.confidence;
+    server.estimatedCapacity.sampledAt = this->clock.now();
+}
+
+void BackendFleet::applyOwnCapacities()
+{
+    const SteadyTime now = this->clock.now();
+    bool hasChanged = false;
+    for (const auto& [key, server] : this->byKey) {
+        if (now - server->totalLoadAt < statusTableValidity)
+            continue;
+        this->setCapacity(*server, this->ownCapacities.estimate(key));
+        hasChanged = true;
+    }
+    this->ownCapacities.removeExpired();
+    if (hasChanged)
+        this->updateSpeeds();
+}
+
+void BackendFleet::updateSpeeds()
+{
+    for (const auto& [service, members] : this->byService) {
+        std::vector<double> logRatios;
+        logRatios.reserve(members.size());
+        for (const BackendServerPointer& server : members)
+            logRatios.push_back(server->durationLogRatio);
+        const double median = medianLogRatio(logRatios);
+        for (const BackendServerPointer& server : members) {
+            const double deviation = median - server->durationLogRatio;
+            server->estimatedCapacity.speed = std::abs(deviation) < insignificantDeviation
+                ? 1
+                : std::clamp(std::exp(deviation), minimumSpeed, maximumSpeed);
+            if (this->capacityUse == CapacityUse::Apply)
+                server->capacity = server->estimatedCapacity;
+        }
+    }
 }
 
 void BackendFleet::recordLoadReport(BackendServer& server, int64_t running, int64_t waiting, int64_t slots)
@@ -285,6 +429,7 @@
 
 InstanceLoadReport BackendFleet::collectReport()
 {
+    this->applyOwnCapacities();
     InstanceLoadReport report;
     for (const auto& [key, server] : this->byKey) {
         server->reportedInFlight = server->inFlight;
@@ -307,6 +452,7 @@
          entry != this->byKey.end() && entry->first <= table.lastServer; ++entry) {
         entry->second->totalLoad = 0;
         entry->second->totalLoadAt = now;
+        this->setCapacity(*entry->second, {});
     }
     for (const ServerStatus& status : table.servers) {
         const auto found = this->byKey.find(status.server);
@@ -315,8 +461,12 @@
         BackendServer& server = *found->second;
         server.totalLoad = status.totalInFlight;
         server.failureRate = status.failureRatePercent / 100.0;
-        if (status.latencyRatioPercent > 0)
+        if (status.latencyRatioPercent > 0 && this->capacityUse == CapacityUse::Observe)
             server.latencyRatio = status.latencyRatioPercent / 100.0;
+        if (status.durationRatioPercent > 0)
+            this->setCapacity(server,
+                { std::log(status.durationRatioPercent / 100.0), status.kneePercent / 100.0,
+                    status.slowdownPercent / 100.0, status.confidencePercent / 100.0 });
         if (status.isUnreachable)
             server.avoidUntil = std::max(server.avoidUntil, now + hubReportedAvoidance);
     }
@@ -325,6 +475,7 @@
         if (found != this->byKey.end())
             addCachedObject(*found->second, copy.object, now);
     }
+    this->updateSpeeds();
 }
 
 void BackendFleet::markLeaving(BackendServer& server, const char* reason)
@@ -336,13 +487,56 @@
         this->leavingHook(server, reason);
 }
 
-bool BackendFleet::tryTakeColdToken(BackendServer& server, double requestsPerSecond, int senderCount)
+bool BackendFleet::hasLeavingNotice(const ServerRecord& record) const
+{
+    // An earlier process of the same id, which an older copy of the store may name, does not return either.
+    const auto found = this->leavingNotices.lower_bound(departureLifetimeOf(record));
+    return found != this->leavingNotices.end() && found->first.id == record.id;
+}
+
+bool BackendFleet::recordLeavingNotice(BackendServer& server)
+{
+    const bool isNew = this->leavingNotices.try_emplace(departureLifetimeOf(server.record), this->clock.now()).second;
+    limitNotices(this->leavingNotices);
+    this->markLeaving(server, saidLeavingReason);
+    if (const BackendServerPointer current = this->findLifetime(server.record))
+        this->markLeaving(*current, saidLeavingReason);
+    return isNew;
+}
+
+void BackendFleet::pause(BackendServer& server, SteadyTime until)
 {
     const SteadyTime now = this->clock.now();
-    const double elapsed = std::chrono::duration<double>(now - server.coldTokensRefilledAt).count();
+    std::erase_if(this->pauses, [now](const auto& entry) { return entry.second <= now; });
+    SteadyTime& end = this->pauses[departureLifetimeOf(server.record)];
+    end = std::max(end, until);
+    const SteadyTime latest = end;
+    limitNotices(this->pauses);
+    const BackendServerPointer current = this->findLifetime(server.record);
+    for (BackendServer* paused : { &server, current.get() }) {
+        if (!paused)
+            continue;
+        paused->pausedUntil = latest;
+        paused->resumeWindow = 1;
+    }
+}
+
+double BackendFleet::refilledColdTokens(const BackendServer& server, double requestsPerSecond, int senderCount) const
+{
+    const double elapsed = std::chrono::duration<double>(this->clock.now() - server.coldTokensRefilledAt).count();
     const double refill = elapsed * requestsPerSecond / std::max(senderCount, 1);
-    server.coldTokens = std::min(1.0, server.coldTokens + refill);
-    server.coldTokensRefilledAt = now;
+    return std::min(1.0, server.coldTokens + refill);
+}
+
+bool BackendFleet::hasColdToken(const BackendServer& server, double requestsPerSecond, int senderCount) const
+{
+    return this->refilledColdTokens(server, requestsPerSecond, senderCount) >= 1;
+}
+
+bool BackendFleet::tryTakeColdToken(BackendServer& server, double requestsPerSecond, int senderCount)
+{
+    server.coldTokens = this->refilledColdTokens(server, requestsPerSecond, senderCount);
+    server.coldTokensRefilledAt = this->clock.now();
     if (server.coldTokens < 1)
         return false;
     server.coldTokens -= 1;
--- a/src/edge/src/RegionShares.cpp
+++ b/src/edge/src/RegionShares.cpp
@@ -40,6 +40,9 @@
 constexpr double maximumRefusedRatio = 0.7;
 constexpr double loggedChange = 0.1;
 
+// All objects belong to the own region.
+const std::vector<RegionShare> noShares;
+
 uint32_t demandKeyOf(const std::string& service, const std::string& region)
 {
     return static_cast<uint32_t>(hash64(region, hash64(service)));
@@ -182,11 +185,11 @@
     // The own region comes first.
     std::map<std::string_view, Sums> sums;
     for (const BackendServerPointer& server : fleet.servers(service)) {
-        if (!fleet.isUsable(*server) || server->avoidUntil > now)
+        if (!fleet.isUsable(*server) || server->avoidUntil > now || server->pausedUntil > now)
             continue;
         Sums& region = sums[server->region];
         if (server->failureRate < failingServerRate)
-            region.slots += static_cast<double>(std::max<int64_t>(server->record.slots, 1));
+            region.slots += usableSlots(*server) * server->capacity.speed;
         region.load += estimateLoad(*server, now);
         region.processingMs += server->averageProcessingMs;
         region.measuredServers += server->averageProcessingMs > 0 ? 1 : 0;
@@ -277,10 +280,15 @@
         this->changeHook({ service, ownShare, state.demand, state.ownSlots });
 }
 
+const std::vector<RegionShare>& RegionShares::currentShares(const std::string& service) const
+{
+    const auto found = this->services.find(service);
+    return found != this->services.end() && found->second.isSpread ? found->second.shares : noShares;
+}
+
 const std::vector<RegionShare>& RegionShares::sharesOf(const BackendFleet& fleet, const std::string& service,
     const std::map<std::string, double>& roundTripsMs, bool isStarting)
 {
-    static const std::vector<RegionShare> none;
     ServiceShares& state = this->services[service];
     if (state.shares.empty() || this->clock.now() - state.updatedAt >= updateInterval) {
         const std::vector<RegionRoom> rooms = this->findRooms(fleet, service, roundTripsMs);
@@ -292,7 +300,7 @@
         state.isSpread = state.shares.front().share < 1;
         this->reportChange(service, state);
     }
-    return state.isSpread ? state.shares : none;
+    return state.isSpread ? state.shares : noShares;
 }
 
 void RegionShares::forEachShare(const std::function<void(const std::string&, const RegionShare&)>& visit) const
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <vector>
@@ -35,13 +36,6 @@
 constexpr double processingTimeStep = 0.08;
 // Ratio of the retry slack that the known instances divide; the rest covers instances that are not known yet.
 constexpr double usedSlackRatio = 0.8;
-// Retry-After of rejected requests: the ratio applies to the remaining time of the request. Callers return after a
-// fraction of the time in which a slot becomes free.
-constexpr double minimumRetryAfterSeconds = 0.05;
-constexpr double retryAfterRatio = 0.25;
-// Retry-After of requests that are refused because of load, as a fraction of the target latency: short enough that a
-// response after the caller's return can be in time.
-constexpr double overloadRetryAfterTargetRatio = 0.25;
 // Interval at which changes of the membership are read.
 constexpr Milliseconds instanceUpdateInterval(250);
 // A request with less than this fraction of the time that callers of its route usually wait was rejected or failed
@@ -54,8 +48,6 @@
 constexpr Milliseconds waitCheckInterval(10);
 // Longest wait for another copy of a request that is suspected of crashing servers.
 constexpr Milliseconds maximumSuspectWait(1000);
-// Retry-After while no version of the configuration is known yet, or while a newer one is on its way.
-constexpr double unconfiguredRetryAfterSeconds = 0.4;
 // Longest part of a host and of a path that a line of the log repeats: both are up to the caller, and the host's is the
 // longest name of the DNS.
 constexpr size_t maximumLoggedHostBytes = 253;
@@ -72,19 +64,11 @@
     return std::chrono::duration<double, std::milli>(to - from).count();
 }
 
-char toLowerCase(char character)
-{
-    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
-}
-
 // Returns null if no route matches.
 const RouteRule* findRule(const RoutingTable& table, const HttpRequest& request)
 {
     const auto target = request.target();
-    // The names of hosts are compared regardless of case (RFC 9110, 4.2.3); the table has them in lower case.
-    std::string host = headerValue(request.base(), "Host");
-    std::transform(host.begin(), host.end(), host.begin(), toLowerCase);
-    return table.findRoute(host, std::string_view(target.data(), target.size()));
+    return table.findRouteOfHost(headerValue(request.base(), "Host"), std::string_view(target.data(), target.size()));
 }
 
 // The host of a request and the first segment of its path, which tell the missing route of a request with 404.
@@ -107,6 +91,15 @@
     return std::to_string(status);
 }
 
+// Requests per slot on the chosen server, including the one that it is chosen for.
+// Processing time on a server in its cold start, relative to a server after it; the same as in Placement.
+constexpr double coldServerProcessingFactor = 2;
+
+double loadRatioOf(const PlacementChoice& choice)
+{
+    return (choice.load + 1) / static_cast<double>(std::max<int64_t>(choice.server->record.slots, 1));
+}
+
 // Returns a negative number if the text is not a non-negative integer.
 int64_t parseNumber(std::string_view text)
 {
@@ -119,6 +112,7 @@
 
 RequestForwarder::RequestForwarder(const ForwarderDependencies& services)
     : dependencies(services)
+    , recentRequests(services.clock)
     , warmCachesAssumedUntil(services.settings.isFirstStart ? SteadyTime() : services.clock.now() + warmCacheDuration)
 {
 }
@@ -190,39 +184,9 @@
     return timeoutMs < returningTimeoutRatio * fullTimeoutMs;
 }
 
-std::string RequestForwarder::chooseService(const RouteRule& rule)
-{
-    if (rule.weightedServices.size() == 1)
-        return rule.weightedServices.front().service;
-    // Chooses the service that is furthest behind its weight, so that any sequence of requests is divided according to
-    // the weights.
-    double total = 0;
-    for (const WeightedService& share : rule.weightedServices)
-        total += share.weight;
-    auto& deficits = this->trafficSplitDeficits[rule.name];
-    std::erase_if(deficits, [&rule](const auto& deficit) {
-        return std::none_of(rule.weightedServices.begin(), rule.weightedServices.end(),
-            [&deficit](const WeightedService& share) { return share.service == deficit.first; });
-    });
-    const WeightedService* chosen = nullptr;
-    for (const WeightedService& share : rule.weightedServices) {
-        if (share.weight <= 0)
-            continue;
-        double& deficit = deficits[share.service];
-        deficit += share.weight / total;
-        if (!chosen || deficit > deficits[chosen->service])
-            chosen = &share;
-    }
-    if (!chosen)
-        return rule.weightedServices.front().service;
-    deficits[chosen->service] -= 1;
-    return chosen->service;
-}
-
 void RequestForwarder::reject(ForwardingState& state, const char* reason, double retryAfterSeconds)
 {
-    const double thirdOfRemainingSeconds = std::max(0.0, this->remainingMs(state)) / 3000;
-    this->rejectFor(state, reason, std::min(retryAfterSeconds, thirdOfRemainingSeconds));
+    this->rejectFor(state, reason, limitedRetryAfter(retryAfterSeconds, this->remainingMs(state)));
 }
 
 void RequestForwarder::rejectFor(ForwardingState& state, const char* reason, double seconds)
@@ -281,26 +245,14 @@
         this->refuseKey(state, key.empty() ? problem : KeyProblem::Unknown);
         return false;
     }
-    const FleetBounds& bounds = this->dependencies.settings.bounds;
     // The key may have been withdrawn by a version that has not arrived.
-    if (bounds.isKeyConfirmationRequired && this->configurationAgeMs() > bounds.keyWithdrawalMs) {
+    if (!this->dependencies.settings.bounds.isKeyConfirmed(this->configurationAgeMs())) {
         this->reject(state, keysUnconfirmedOutcome, unconfiguredRetryAfterSeconds);
         return false;
     }
     state.workspaceName = workspace->name;
     state.priority = workspace->priority.value_or(state.rule.priority);
-    if (workspace->homeRegions.empty())
-        return true;
-    std::vector<std::string>& regions = state.rule.homeRegions;
-    if (regions.empty()) {
-        regions = workspace->homeRegions;
-        return true;
-    }
-    std::erase_if(regions, [workspace](const std::string& region) {
-        return std::find(workspace->homeRegions.begin(), workspace->homeRegions.end(), region)
-            == workspace->homeRegions.end();
-    });
-    if (!regions.empty())
+    if (limitHomeRegions(state.rule, *workspace))
         return true;
     this->reject(state, "no-common-home", unconfiguredRetryAfterSeconds);
     return false;
@@ -380,7 +332,7 @@
     const auto target = request.target();
     state.fingerprint = fingerprintOf(headerValue(request.base(), "Host"), { method.data(), method.size() },
         { target.data(), target.size() }, request.body());
-    state.deadline = state.exchange->arrivedAt + Milliseconds(1000);
+    state.deadline = state.exchange->arrivedAt + unroutedRequestTime;
     if (this->isDraining && state.exchange->arrivedAt >= this->acceptUntil) {
         this->reject(state, "stopping", 0);
         return false;
@@ -399,7 +351,7 @@
         callerTimeoutMs = rule.timeoutMs;
     state.isReturning = this->isReturningCaller(rule, callerTimeoutMs);
     state.deadline = state.exchange->arrivedAt + Milliseconds(std::min(callerTimeoutMs, rule.timeoutMs));
-    state.serviceName = this->chooseService(rule);
+    state.serviceName = this->trafficSplit.choose(rule);
     this->updateInstanceCounts();
     const FleetBounds& bounds = this->dependencies.settings.bounds;
     this->retryTokenBuckets[state.serviceName].recordRequest(bounds.retryRatio, this->retrySlackPerInstance());
@@ -407,6 +359,27 @@
     return true;
 }
 
+void RequestForwarder::keepForExplanation(const ForwardingState& state)
+{
+    const HttpRequest& request = state.exchange->request;
+    this->recentRequests.add(
+        { state.requestId, state.rule.name, state.affinityKey, state.workspaceName, headerValue(request.base(), "Host"),
+            std::string(request.method_string()), std::string(request.target()), state.fingerprint });
+}
+
+ExplanationSources RequestForwarder::explanationSources() const
+{
+    const ForwarderDependencies& used = this->dependencies;
+    return { used.clock, used.settings, used.clusterState.routingTable(), this->configurationAgeMs(),
+        used.clusterState.isConfigurationOutdated(), this->isDraining, used.fleet, used.shiftLimiter, used.regionShares,
+        used.crashQuarantine, used.usageLimiter, this->overloadAdmission, this->trafficSplit,
+        this->processingTimeByRoute, this->roundTripsMs, this->coldServerSenders, this->isPreferredServerWarm(),
+        [this](const BackendServer& server) {
+            return this->dependencies.serverConnections.hasIdleConnection(server.record.address);
+        },
+        this->recentRequests };
+}
+
 asio::awaitable<void> RequestForwarder::handle(ExchangePointer exchange)
 {
     // Counts the request until it ends, also by an exception: a planned stop waits for all requests.
@@ -422,7 +395,9 @@
     const InFlightCount inFlight(this->inFlightRequests);
     ForwardingState state;
     state.exchange = exchange;
-    if (this->prepareRequest(state) && co_await this->awaitUsageDecision(state)) {
+    const bool isPrepared = this->prepareRequest(state);
+    this->keepForExplanation(state);
+    if (isPrepared && co_await this->awaitUsageDecision(state)) {
         co_await this->forwardRequest(state);
         this->refundUsage(state);
     }
@@ -489,10 +464,7 @@
     const char* reason = toString(state.admission.outcome);
     this->dependencies.metrics.count(
         "wagtailrack_not_admitted_total", labels + ",reason=\"" + std::string(reason) + "\"");
-    const double targetSeconds = static_cast<double>(state.rule.targetLatencyMs) / 1000;
-    const double remainingSeconds = this->remainingMs(state) / 1000;
-    this->finishAfterFailure(
-        state, reason, std::min(overloadRetryAfterTargetRatio * targetSeconds, retryAfterRatio * remainingSeconds));
+    this->finishAfterFailure(state, reason, overloadRetryAfter(state.rule.targetLatencyMs, this->remainingMs(state)));
     return false;
 }
 
@@ -525,7 +497,7 @@
                 = std::any_of(state.rule.weightedServices.begin(), state.rule.weightedServices.end(),
                     [&state](const WeightedService& share) { return share.service == state.serviceName; });
             if (!isStillAllowed)
-                state.serviceName = this->chooseService(state.rule);
+                state.serviceName = this->trafficSplit.choose(state.rule);
         }
         const ServiceSettings* service = state.routingTable->findService(state.serviceName);
         const ServiceSettings unknown { state.serviceName, 0, 0, 1 };
@@ -544,7 +516,7 @@
         if (!choice) {
             if (state.sendCount == 0)
                 this->dependencies.shiftLimiter.recordRefusal();
-            this->finishAfterFailure(state, "no-server");
+            this->finishWithoutServer(state, "no-server");
             co_return;
         }
         if (!this->admit(state, *choice)) {
@@ -609,6 +581,8 @@
     if (isIdempotent)
         state.exchange->onCallerDisconnected = [call] { call->cancel(); };
     this->prepareRelay(state, call);
+    call->onResponseHead = [this, server](const HttpResponse& head) { this->applyServerNotices(*server, head.base()); };
+    call->isStillWanted = [this, server] { return this->mayReceiveRequests(*server); };
     state.isSendGranted = false;
     const SteadyTime sentAt = this->dependencies.clock.now();
     const Endpoint address = server->record.address;
@@ -626,6 +600,9 @@
         = millisecondsSince(sentAt, isRelayed ? call->relay->begunAt() : this->dependencies.clock.now());
     state.lastAttemptDurationMs = durationMs;
     this->recordRoundTrip(*server, *call);
+    // The connection on which the server said that it leaves became idle after that.
+    if (server->isLeaving)
+        this->dependencies.serverConnections.closeIdleConnections(address);
     if (isRelayed && outcome != CallOutcome::Answered) {
         if (outcome != CallOutcome::Cancelled && (call->relay->hasStarted() || outcome == CallOutcome::TooLarge)) {
             this->endBrokenRelay(state, *server, outcome);
@@ -657,6 +634,10 @@
             co_return this->retryOrFinish(state);
         this->reject(state, "servers-unreachable", minimumRetryAfterSeconds);
         co_return NextStep::Finish;
+    case CallOutcome::NotSent:
+        state.isSendGranted = true;
+        this->dependencies.fleet.withdrawAttempt(*server);
+        co_return NextStep::TryAnotherServer;
     case CallOutcome::Cancelled:
         ++state.sendCount;
         this->dependencies.fleet.endAttempt(*server, AttemptOutcome::Answered);
@@ -669,7 +650,7 @@
                 *server, state.fingerprint, sentAt, call->connectDurationMs > 0);
         this->dependencies.fleet.endAttempt(*server, AttemptOutcome::BrokenResponse);
         this->dependencies.fleet.recordDuration(
-            *server, durationMs, choice.expectedWaitMs + choice.expectedProcessingMs);
+            *server, { durationMs, choice.expectedWaitMs + choice.expectedProcessingMs, loadRatioOf(choice) });
         this->respondWithError(state, http::status::gateway_timeout, "deadline-passed");
         co_return NextStep::Finish;
     case CallOutcome::Broken:
@@ -747,7 +728,7 @@
 
 void RequestForwarder::finishAfterFailure(ForwardingState& state, const char* reason)
 {
-    this->finishAfterFailure(state, reason, retryAfterRatio * this->remainingMs(state) / 1000);
+    this->finishAfterFailure(state, reason, failureRetryAfter(this->remainingMs(state)));
 }
 
 void RequestForwarder::finishAfterFailure(ForwardingState& state, const char* reason, double retryAfterSeconds)
@@ -757,7 +738,7 @@
     else if (state.isPossiblyExecuted)
         this->respondWithError(state, http::status::bad_gateway, "outcome-unknown");
     else
-        this->reject(state, reason, std::max(minimumRetryAfterSeconds, retryAfterSeconds));
+        this->reject(state, reason, retryAfterSeconds);
 }
 
 RequestForwarder::NextStep RequestForwarder::retryOrFinish(ForwardingState& state)
@@ -765,7 +746,7 @@
     const double left = this->remainingMs(state);
     if (left > 0 && state.sendCount < state.rule.maxAttempts)
         return NextStep::TryAnotherServer;
-    this->finishAfterFailure(state, "servers-full");
+    this->finishWithoutServer(state, "servers-full");
     return NextStep::Finish;
 }
 
@@ -799,30 +780,89 @@
         found->second += roundTripSampleWeight * (sample - found->second);
 }
 
-void RequestForwarder::recordServerLoad(BackendServer& server, const HttpResponse& response)
+bool RequestForwarder::mayReceiveRequests(const BackendServer& server) const
 {
-    const std::string text = headerValue(response.base(), this->dependencies.headers.serverLoad);
-    const size_t first = text.find(',');
-    const size_t second = first == std::string::npos ? first : text.find(',', first + 1);
-    if (second == std::string::npos)
+    return this->dependencies.fleet.isUsable(server) && server.pausedUntil <= this->dependencies.clock.now();
+}
+
+void RequestForwarder::applyServerNotices(BackendServer& addressed, const http::response_header<>& head)
+{
+    // 421 comes from another server, which uses the address now.
+    const bool isMisdirected = head.result() == http::status::misdirected_request;
+    const BackendServerPointer other
+        = isMisdirected ? this->dependencies.fleet.findOtherAt(addressed.record.address, addressed.record.id) : nullptr;
+    if (isMisdirected && !other)
         return;
-    const std::string_view view = text;
-    const int64_t executing = parseNumber(view.substr(0, first));
-    const int64_t waiting = parseNumber(view.substr(first + 1, second - first - 1));
-    const int64_t slots = parseNumber(view.substr(second + 1, view.find(',', second + 1) - second - 1));
-    if (executing >= 0 && waiting >= 0)
+    BackendServer& server = other ? *other : addressed;
+    const SteadyTime now = this->dependencies.clock.now();
+    const ServerNotices notices = readServerNotices(head, this->dependencies.headers, now);
+    if (notices.invalidFields > 0)
+        this->dependencies.metrics.count(
+            "wagtailrack_server_notices_ignored_total", "", static_cast<double>(notices.invalidFields));
+    if (notices.isLeaving && this->dependencies.fleet.recordLeavingNotice(server)) {
+        this->dependencies.metrics.count("wagtailrack_server_leaving_notices_total", "");
+        this->dependencies.serverConnections.closeIdleConnections(server.record.address);
+    }
+    if (!notices.pausesUntil || *notices.pausesUntil <= now)
+        return;
+    const bool isFirst = server.pausedUntil <= now;
+    this->dependencies.fleet.pause(server, *notices.pausesUntil);
+    this->dependencies.serverConnections.stopPreconnecting(server.record.address);
+    this->dependencies.metrics.count("wagtailrack_server_pauses_total", "");
+    if (isFirst)
+        this->dependencies.log.write(LogCategory::ProcessState, "server-pauses",
+            { { "server", server.record.id }, { "service", server.record.service },
+                { "for_ms", static_cast<int64_t>(millisecondsSince(now, server.pausedUntil)) } });
+}
+
+void RequestForwarder::finishWithoutServer(ForwardingState& state, const char* reason)
+{
+    const SteadyTime now = this->dependencies.clock.now();
+    const std::optional<SteadyTime> pauseEnd
+        = earliestPauseEnd(this->dependencies.fleet, state.serviceName, state.rule, now);
+    if (!pauseEnd || state.fallbackResponse || state.isPossiblyExecuted) {
+        this->finishAfterFailure(state, reason);
+        return;
+    }
+    this->rejectFor(state, "servers-pause", pauseRetryAfter(now, *pauseEnd, this->remainingMs(state)));
+}
+
+ReportedServerLoad RequestForwarder::recordServerLoad(BackendServer& server, const HttpResponse& response)
+{
+    constexpr double usualMachinePercent = 100;
+    const std::string text = headerValue(response.base(), this->dependencies.headers.serverLoad);
+    // Running, waiting, slots and percent of the usual processing time; later servers may send more figures.
+    std::array<int64_t, 4> figures { -1, -1, -1, -1 };
+    std::string_view rest = text;
+    for (int64_t& figure : figures) {
+        const size_t comma = std::min(rest.find(','), rest.size());
+        figure = parseNumber(rest.substr(0, comma));
+        rest.remove_prefix(std::min(comma + 1, rest.size()));
+    }
+    const auto [executing, waiting, slots, machinePercent] = figures;
+    ReportedServerLoad reported;
+    if (executing >= 0 && waiting >= 0 && slots >= 0) {
         this->dependencies.fleet.recordLoadReport(server, executing, waiting, slots);
+        reported.load = ReportedLoad { executing, waiting, slots };
+    }
+    if (machinePercent > 0)
+        reported.machineFactor = static_cast<double>(machinePercent) / usualMachinePercent;
+    return reported;
 }
 
-void RequestForwarder::recordProcessingTime(
-    const ForwardingState& state, BackendServer& server, const PlacementChoice& choice, double durationMs)
+void RequestForwarder::recordProcessingTime(const ForwardingState& state, BackendServer& server,
+    const PlacementChoice& choice, double durationMs, const ReportedServerLoad& reported)
 {
-    const double waitMs = choice.expectedWaitMs;
     ProcessingTimeEstimate& processingTime = this->processingTimeOf(state.rule);
     const double base = choice.isObjectCached ? processingTime.cachedMs : processingTime.uncachedMs;
-    this->dependencies.fleet.recordDuration(server, durationMs, waitMs + base);
-    // The processing time is known only for requests that did not wait, on servers that are not cold.
-    if (waitMs > 0 || this->dependencies.clock.now() < server.coldUntil)
+    const double loadRatio
+        = reported.load ? measuredLoadRatio(loadRatioOf(choice), *reported.load) : loadRatioOf(choice);
+    const bool isCold = this->dependencies.clock.now() < server.coldUntil;
+    const double expectedMs = choice.expectedWaitMs + (isCold ? coldServerProcessingFactor * base : base);
+    this->dependencies.fleet.recordDuration(server, { durationMs, expectedMs, loadRatio, reported.machineFactor });
+    // The route's processing time is known only for requests that did not wait, on servers that are not cold, not
+    // beyond their knee and not known as slow. Latency at full load would be learned as the floor otherwise.
+    if (isCold || choice.expectedWaitMs > 0 || loadRatioOf(choice) > server.capacity.knee || server.capacity.speed < 1)
         return;
     // A low quantile, because some requests wait unnoticed behind requests of other instances, and some objects are not
     // cached.
@@ -839,7 +879,7 @@
     const unsigned status = response.result_int();
     const EdgeHeaderNames& headers = this->dependencies.headers;
     const bool isIdempotent = state.rule.idempotency == version::Idempotency::Idempotent;
-    this->recordServerLoad(server, response);
+    const ReportedServerLoad reported = this->recordServerLoad(server, response);
     if (status == 421 || !headerValue(response.base(), headers.notExecuted).empty()) {
         this->dependencies.fleet.endAttempt(server, status == 421 ? AttemptOutcome::Answered : AttemptOutcome::Shed);
         if (status == 421)
@@ -879,13 +919,14 @@
         return NextStep::Finish;
     }
     this->dependencies.fleet.endAttempt(server, AttemptOutcome::Answered);
-    if (isIdempotent && server.region != this->dependencies.settings.region)
+    if (isIdempotent && server.region != this->dependencies.settings.region && server.capacity.speed >= 1
+        && this->mayReceiveRequests(server))
         this->dependencies.serverConnections.keepPreconnected(
             server.record.address, this->dependencies.clock.now() + preconnectDuration);
     this->forwardResponse(state, std::move(response), "done");
     const auto roundTrip = this->roundTripsMs.find(server.region);
     const double networkMs = call.connectDurationMs + (roundTrip == this->roundTripsMs.end() ? 0 : roundTrip->second);
-    this->recordProcessingTime(state, server, choice, std::max(1.0, durationMs - networkMs));
+    this->recordProcessingTime(state, server, choice, std::max(1.0, durationMs - networkMs), reported);
     return NextStep::Finish;
 }
 
