--- a/src/edge/include/wagtailrack/edge/Placement.h
+++ b/src/edge/include/wagtailrack/edge/Placement.h
@@ -15,6 +15,9 @@
 
 namespace wagtailrack::edge {
 
+// Processing time on a server in its cold start, relative to a server after it.
+inline constexpr double coldServerProcessingFactor = 2;
+
 // Processing time of a route's requests as this instance measures it: `cachedMs` on servers that have handled the
 // request's object before, `uncachedMs` on other servers.
 struct ProcessingTimeEstimate {
--- a/src/edge/src/Placement.cpp
+++ b/src/edge/src/Placement.cpp
@@ -13,8 +13,6 @@
 
 // Objects that a server handled longer ago than this have probably been evicted from its cache.
 constexpr Milliseconds cachedObjectValidity(20000);
-// Processing time on a server in its cold start, relative to a server after it.
-constexpr double coldServerProcessingFactor = 2;
 
 // Score of a response after the target latency, relative to one within it. The users rate late responses so for every
 // kind of request.
--- a/src/edge/src/RequestForwarder.cpp
+++ b/src/edge/src/RequestForwarder.cpp
@@ -92,9 +92,6 @@
 }
 
 // Requests per slot on the chosen server, including the one that it is chosen for.
-// Processing time on a server in its cold start, relative to a server after it; the same as in Placement.
-constexpr double coldServerProcessingFactor = 2;
-
 double loadRatioOf(const PlacementChoice& choice)
 {
     return (choice.load + 1) / static_cast<double>(std::max<int64_t>(choice.server->record.slots, 1));
