--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -42,10 +42,7 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start).count();
 }
 
-inline void sleepMs(int64_t milliseconds)
-{
-    std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
-}
+inline void sleepMs(int64_t milliseconds) { std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds)); }
 
 inline void sleepUntil(int64_t at)
 {
@@ -149,8 +146,7 @@
     {
         size_t sent = 0;
         while (sent < bytes.size()) {
-            const ssize_t size
-                = ::send(this->descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+            const ssize_t size = ::send(this->descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
             if (size <= 0)
                 return false;
             sent += static_cast<size_t>(size);
@@ -238,7 +234,8 @@
             }
         }
         if (!message.header("content-length").empty())
-            return this->take(std::strtoul(message.header("content-length").c_str(), nullptr, 10), message.body, deadline);
+            return this->take(
+                std::strtoul(message.header("content-length").c_str(), nullptr, 10), message.body, deadline);
         if (!isResponse)
             return true;
         while (this->fill(deadline)) { }
@@ -495,9 +492,9 @@
     }
     static std::string json(const std::string& key, const Item& item)
     {
-        return "{\"key\":\"" + key + "\",\"value\":\"" + base64(item.value) + "\",\"revision\":"
-            + std::to_string(item.revision) + ",\"create_revision\":" + std::to_string(item.created)
-            + ",\"lease\":" + std::to_string(item.lease) + "}";
+        return "{\"key\":\"" + key + "\",\"value\":\"" + base64(item.value)
+            + "\",\"revision\":" + std::to_string(item.revision)
+            + ",\"create_revision\":" + std::to_string(item.created) + ",\"lease\":" + std::to_string(item.lease) + "}";
     }
     static std::string response(int status, const std::string& body)
     {
@@ -556,8 +553,8 @@
                 }
                 const int64_t left = end - nowMs();
                 if (!events.empty() || left <= 0)
-                    return response(200,
-                        "{\"events\":[" + events + "],\"store_revision\":" + std::to_string(this->revision) + "}");
+                    return response(
+                        200, "{\"events\":[" + events + "],\"store_revision\":" + std::to_string(this->revision) + "}");
                 this->changed.wait_for(lock, std::chrono::milliseconds(left));
             }
         }
@@ -620,8 +617,8 @@
     bool wasAbandoned = false;
 };
 
-// An upstream: registers in the store, writes its entry every 1.5 s, checks Wagtailrack-Expect-Instance, works, answers.
-// Drops a request when its connection closes, as most upstreams do.
+// An upstream: registers in the store, writes its entry every 1.5 s, checks Wagtailrack-Expect-Instance, works,
+// answers. Drops a request when its connection closes, as most upstreams do.
 class Upstream {
 public:
     using Work = std::function<void(Upstream&, const StreamPointer&, const Message&, Run&)>;
@@ -657,15 +654,15 @@
         this->store.put("servers/" + this->id,
             "{\"service\":\"" + this->service + "\",\"addr\":\"" + this->address() + "\",\"zone\":\"" + this->zone
                 + "\",\"version\":\"v1\",\"slots\":" + std::to_string(this->slots) + ",\"state\":\"" + this->state
-                + "\",\"cold_left_ms\":0,\"born\":" + std::to_string(this->born) + ",\"seq\":"
-                + std::to_string(++this->sequence) + "}");
+                + "\",\"cold_left_ms\":0,\"born\":" + std::to_string(this->born)
+                + ",\"seq\":" + std::to_string(++this->sequence) + "}");
     }
     // The usual answer.
     std::string answer(const Message& request, const std::string& body, const std::string& further = {}) const
     {
         return "HTTP/1.1 200 OK\r\nWagtailrack-Attempt-Id: " + request.header("wagtailrack-attempt-id")
-            + "\r\nWagtailrack-Response-Seal: " + request.header("wagtailrack-attempt-id") + ".0." + this->id
-            + "\r\n" + further + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            + "\r\nWagtailrack-Response-Seal: " + request.header("wagtailrack-attempt-id") + ".0." + this->id + "\r\n"
+            + further + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
     // Works for `milliseconds`; false if the connection closed meanwhile.
     static bool workFor(const StreamPointer& stream, int64_t milliseconds)
@@ -690,9 +687,9 @@
     const std::string id;
     const std::string service;
     std::atomic<bool> isGone { false };
-    const int64_t born = std::chrono::duration_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch())
-                             .count();
+    const int64_t born
+        = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+              .count();
 
 private:
     void serve(const StreamPointer& stream)
@@ -811,8 +808,8 @@
     int64_t maxAttempts = 2;
 };
 
-inline std::string manifest(int version, const std::string& host, const std::vector<Route>& routes,
-    const std::vector<std::string>& services)
+inline std::string manifest(
+    int version, const std::string& host, const std::vector<Route>& routes, const std::vector<std::string>& services)
 {
     char digits[12];
     std::snprintf(digits, sizeof digits, "%08x", version);
@@ -825,8 +822,7 @@
         text += std::string(index > 0 ? "," : "") + "{\"name\":\"" + route.name + "\",\"route_type\":\"" + route.type
             + "\",\"target_latency_ms\":" + std::to_string(route.targetMs)
             + ",\"priority\":2,\"sticky\":false,\"match\":{\"prefix\":\"" + route.prefix
-            + "\"},\"action\":{\"service\":\"" + route.service
-            + "\",\"timeout_ms\":" + std::to_string(route.timeoutMs)
+            + "\"},\"action\":{\"service\":\"" + route.service + "\",\"timeout_ms\":" + std::to_string(route.timeoutMs)
             + ",\"max_attempts\":" + std::to_string(route.maxAttempts) + ",\"home_regions\":[]}}";
     }
     text += "]}],\"clusters\":[";
