--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -498,7 +498,8 @@
     }
     static std::string response(int status, const std::string& body)
     {
-        return "HTTP/1.1 " + std::to_string(status) + " Status\r\nContent-Type: application/json\r\nContent-Length: "
+        return "HTTP/1.1 " + std::to_string(status)
+            + " Status\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: "
             + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
     void serve(const StreamPointer& stream)
